--- /dev/null
+++ b/cranberrysail/platform/settings.py
@@ -0,0 +1,114 @@
+"""The settings file that the platform hands to each process."""
+
+import os
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from cranberrysail.errors import ConfigError
+from cranberrysail.router.coldlimit import ColdBound
+from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.repeats import RepeatBound
+
+__all__ = ["SETTINGS_VARIABLE", "ADMIN_PORT", "load", "parse"]
+
+SETTINGS_VARIABLE = "CRANBERRYSAIL_NODE_FILE"
+READY_PATH = "/v1/readiness"
+# Port of metrics and state; deploy/system.toml names the same one.
+ADMIN_PORT = 9464
+
+
+class _Addresses(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct):
+    """Figures of the contract.
+
+    Attributes:
+      grace_s: Time from SIGTERM to SIGKILL.
+      retry_budget_ratio: Repeats for each first send.
+      budget_slack: Repeats in a window beyond the ratio, over the fleet.
+      cold_overage: Multiple of a cold endpoint's rate.
+      cold_slack: Calls a second beyond that.
+    """
+
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _NodeFile(msgspec.Struct):
+    """The parts of the file that a router needs; others are passed over.
+
+    Attributes:
+      platform: Here the metadata store.
+    """
+
+    node_name: str
+    zone: str
+    ip_address: str
+    listen_addresses: _Addresses
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    heartbeat_interval_ms: float = 1200.0
+
+
+def parse(text: str, source: str) -> RouterConfig:
+    """Return the settings in the router's terms.
+
+    Args:
+      text: The file's content.
+      source: Its name, for error messages.
+
+    Raises:
+      ConfigError: If a field is missing or of another type.
+    """
+    try:
+        node = msgspec.convert(tomllib.loads(text), _NodeFile, strict=False)
+    except tomllib.TOMLDecodeError as exc:
+        raise ConfigError(source, [f"not valid TOML ({exc}); correct it"]) from exc
+    except msgspec.ValidationError as exc:
+        raise ConfigError(source, [f"{exc}; correct this field"]) from exc
+    bounds = node.bounds
+    return RouterConfig(
+        name=node.node_name,
+        zone=node.zone,
+        callers=node.listen_addresses.front,
+        ready=node.listen_addresses.ready,
+        admin=f"{node.ip_address}:{ADMIN_PORT}",
+        store=node.platform.address,
+        ready_path=READY_PATH,
+        grace_s=bounds.grace_s,
+        beat_s=node.heartbeat_interval_ms / 1000,
+        cold=ColdBound(bounds.cold_overage, bounds.cold_slack),
+        repeats=RepeatBound(
+            bounds.retry_budget_ratio, bounds.budget_slack, bounds.budget_window_s
+        ),
+    )
+
+
+def load() -> RouterConfig:
+    """Return the settings from the file that the environment names.
+
+    Raises:
+      ConfigError: If there is none or it is not valid.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        fault = f"the variable {SETTINGS_VARIABLE} is not set; run this on the platform"
+        raise ConfigError("environment", [fault])
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as exc:
+        raise ConfigError(path, [f"cannot be read ({exc}); check the path"]) from exc
+    return parse(text, path)
--- /dev/null
+++ b/cranberrysail/platform/store.py
@@ -0,0 +1,204 @@
+"""The platform's metadata store, a log over HTTP."""
+
+import asyncio
+import base64
+import struct
+from urllib.parse import quote
+
+import msgspec
+
+from cranberrysail.errors import UpstreamError
+from cranberrysail.router.httpclient import HttpClientConn, connect
+from cranberrysail.router.store import (
+    BaseStore,
+    Page,
+    StoreError,
+    StoreGapError,
+    Topic,
+)
+
+__all__ = ["PlatformStore", "decode_records", "encode_record"]
+
+# Keys of operators stand under these names; the system may write the last only.
+TOPICS = {
+    Topic.OPERATORS: "keyed.op",
+    Topic.ENDPOINTS: "keyed.servers",
+    Topic.ROUTERS: "keyed.status",
+}
+# An answer takes a few milliseconds; the store may be tens of times slower.
+CALL_S = 1.5
+CONNECT_S = 0.6
+MOST_BYTES = 64 * 1024 * 1024
+READ_KB = 1024
+GAP = 410
+OFFSETS_BYTES = 16
+
+
+class _Item(msgspec.Struct):
+    key: str
+    offset: int
+    value: str | None = None
+
+
+class _Newest(msgspec.Struct):
+    """A page of ``log-newest``.
+
+    Attributes:
+      end: Where a read goes on that misses nothing after the first page.
+    """
+
+    items: list[_Item]
+    end: int
+    has_more: bool = False
+
+
+def encode_record(key: str, value: bytes) -> bytes:
+    """Return a record of a topic with keys, with its length before it."""
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return struct.pack(">I", len(content)) + content
+
+
+def decode_records(data: bytes) -> tuple[tuple[str, bytes | None], ...]:
+    """Return keys and values; no value means that the key was removed.
+
+    Raises:
+      StoreError: If the data is cut.
+    """
+    records = []
+    at = 0
+    while at < len(data):
+        if at + 4 > len(data):
+            raise StoreError("the store's records are cut; read them again")
+        (size,) = struct.unpack_from(">I", data, at)
+        content = data[at + 4 : at + 4 + size]
+        if len(content) < size:
+            raise StoreError("the store's records are cut; read them again")
+        at += 4 + size
+        if not content or len(content) < 1 + content[0]:
+            continue
+        key = content[1 : 1 + content[0]].decode("utf-8", "replace")
+        value = bytes(content[1 + content[0] :])
+        records.append((key, value or None))
+    return tuple(records)
+
+
+class PlatformStore(BaseStore):
+    """Speaks to the store, on one kept connection for each topic."""
+
+    def __init__(self, address: str) -> None:
+        """Create a client.
+
+        Args:
+          address: ``ip:port`` of the store.
+        """
+        self._address = address
+        self._conns: dict[Topic, HttpClientConn] = {}
+        self._newest = msgspec.json.Decoder(_Newest)
+
+    async def newest(self, topic: Topic) -> Page:
+        """Return the newest record of each key."""
+        records: list[tuple[str, bytes | None]] = []
+        end: int | None = None
+        after = ""
+        while True:
+            query = f"/v1/log-newest?topic={TOPICS[topic]}&part=0"
+            if after:
+                query += f"&after={quote(after, safe='')}"
+            page = self._page(await self._call(topic, "GET", query, b"", CALL_S))
+            end = page.end if end is None else end
+            for item in page.items:
+                records.append((item.key, _value(item)))
+                after = item.key
+            if not page.has_more or not page.items:
+                return Page(tuple(records), end)
+
+    def _page(self, body: bytes) -> _Newest:
+        try:
+            return self._newest.decode(body)
+        except msgspec.DecodeError as exc:
+            raise StoreError(f"the store's list cannot be read ({exc})") from exc
+
+    async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
+        """Return the records from an offset on."""
+        query = (
+            f"/v1/log-read?topic={TOPICS[topic]}&part=0&from={start}"
+            f"&max_kb={READ_KB}&wait_ms={int(wait_s * 1000)}"
+        )
+        body = await self._call(topic, "GET", query, b"", CALL_S + wait_s)
+        if len(body) < OFFSETS_BYTES:
+            raise StoreError("the store's answer is cut; read again")
+        _, first = struct.unpack_from(">QQ", body)
+        if first > start:
+            raise StoreGapError(f"records before {first} were dropped")
+        records = decode_records(body[OFFSETS_BYTES:])
+        return Page(records, start + _count(body[OFFSETS_BYTES:]))
+
+    async def put(self, topic: Topic, key: str, value: bytes) -> None:
+        """Write a record."""
+        query = f"/v1/log-append?topic={TOPICS[topic]}&part=0"
+        await self._call(topic, "POST", query, encode_record(key, value), CALL_S)
+
+    async def _call(
+        self, topic: Topic, method: str, target: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(topic, method, target, body)
+        except TimeoutError as exc:
+            self._drop(topic)
+            raise StoreError(f"the store gave no answer in {timeout_s} s") from exc
+        except UpstreamError as exc:
+            self._drop(topic)
+            raise StoreError(f"the store gave no answer ({exc.reason})") from exc
+        except asyncio.CancelledError:
+            self._drop(topic)
+            raise
+
+    def _drop(self, topic: Topic) -> None:
+        conn = self._conns.pop(topic, None)
+        if conn is not None:
+            conn.close()
+
+    async def _exchange(
+        self, topic: Topic, method: str, target: str, body: bytes
+    ) -> bytes:
+        conn = self._conns.get(topic)
+        if conn is None or not conn.usable:
+            self._drop(topic)
+            conn = self._conns[topic] = await connect(self._address, CONNECT_S)
+        head = f"{method} {target} HTTP/1.1\r\nhost: {self._address}\r\n"
+        if method == "POST":
+            head += f"content-length: {len(body)}\r\n"
+        conn.send(head.encode() + b"\r\n" + body)
+        await conn.head()
+        answer = await conn.read_up_to(MOST_BYTES)
+        conn.rest()
+        if conn.status == GAP:
+            raise StoreGapError("the store dropped the records asked for")
+        if conn.status != 200:
+            raise StoreError(f"the store answered {conn.status}; try again later")
+        return answer
+
+    def close(self) -> None:
+        """Close all connections."""
+        for topic in list(self._conns):
+            self._drop(topic)
+
+
+def _value(item: _Item) -> bytes | None:
+    if not item.value:
+        return None
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as exc:
+        raise StoreError(f"the value of {item.key!r} is not base64") from exc
+
+
+def _count(data: bytes) -> int:
+    count = at = 0
+    while at < len(data):
+        (size,) = struct.unpack_from(">I", data, at)
+        at += 4 + size
+        count += 1
+    return count
--- /dev/null
+++ b/cranberrysail/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router that serves callers: decisions, connections and wiring."""
--- /dev/null
+++ b/cranberrysail/router/follower.py
@@ -0,0 +1,287 @@
+"""Following the store: from records to beliefs."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cranberrysail.router.clock import now
+from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.endpoints import EndpointDirectory
+from cranberrysail.router.model import EndpointRecord, RouteTables
+from cranberrysail.router.store import (
+    BaseStore,
+    Page,
+    StoreError,
+    StoreGapError,
+    Topic,
+)
+
+__all__ = ["BaseDecoder", "Beliefs", "Follower", "RecordError", "TopicFollower"]
+
+# Operators' records come rarely: the store answers as soon as there is one.
+OPERATORS_WAIT_S = 8.0
+# Endpoints declare themselves about every second; reading less often than they
+# write saves calls, and leaves half of the time allowed for a leaving endpoint.
+ENDPOINTS_EVERY_S = 0.9
+ENDPOINTS_WAIT_S = 1.5
+RETRY_S = 0.25
+
+
+class RecordError(ValueError):
+    """A record of the store cannot be used; it is passed over."""
+
+
+class BaseDecoder(ABC):
+    """Reads a platform's records."""
+
+    @abstractmethod
+    def tables(self, value: bytes) -> RouteTables:
+        """Return tables.
+
+        Raises:
+          RecordError: If the record cannot be used.
+        """
+
+    @abstractmethod
+    def endpoint(self, key: str, value: bytes) -> EndpointRecord:
+        """Return an endpoint's declaration.
+
+        Raises:
+          RecordError: If the record cannot be used.
+        """
+
+    @abstractmethod
+    def is_tables(self, key: str) -> bool:
+        """Return whether a key of the operators holds tables."""
+
+    @abstractmethod
+    def zone_out(self, key: str) -> str | None:
+        """Return the availability zone that a key takes out, if it does."""
+
+
+@dataclass
+class Beliefs:
+    """What this router believes of tables and endpoints.
+
+    Attributes:
+      tables: Newest tables, None before any came; versions never go back.
+      endpoints: The endpoints.
+      known: Topics of which a whole list was read.
+    """
+
+    endpoints: EndpointDirectory
+    log: DecisionLog
+    decoder: BaseDecoder
+    changed: Callable[[], None]
+    tables: RouteTables | None = None
+
+    def __post_init__(self) -> None:
+        self.known: set[Topic] = set()
+
+    @property
+    def complete(self) -> bool:
+        """Return whether tables and endpoints are known."""
+        return self.tables is not None and Topic.ENDPOINTS in self.known
+
+    def apply(self, topic: Topic, page: Page, whole: bool) -> None:
+        """Take a page of records.
+
+        Args:
+          topic: Where they were read.
+          page: The records.
+          whole: True if they are all that the topic holds.
+        """
+        if topic is Topic.OPERATORS:
+            self._operators(page, whole)
+        elif topic is Topic.ENDPOINTS:
+            self._endpoints(page, whole)
+        if whole:
+            self.known.add(topic)
+
+    def _operators(self, page: Page, whole: bool) -> None:
+        newest = dict(page.records)
+        for key, value in newest.items():
+            if self.decoder.is_tables(key) and value is not None:
+                self._take_tables(value)
+        zones = {
+            zone: value is not None
+            for key, value in newest.items()
+            if (zone := self.decoder.zone_out(key)) is not None
+        }
+        if whole:
+            for zone in self.endpoints.zones_out - zones.keys():
+                zones[zone] = False
+        for zone, out in zones.items():
+            self._take_zone(zone, out)
+
+    def _take_tables(self, value: bytes) -> None:
+        try:
+            tables = self.decoder.tables(value)
+        except RecordError as exc:
+            self.log.write("tables_rejected", why=str(exc), bytes=len(value))
+            return
+        known = self.tables.version if self.tables else None
+        if known is not None and tables.version <= known:
+            return
+        self.tables = tables
+        self.log.write(
+            "tables_applied",
+            version=tables.version,
+            before=known,
+            routes=len(tables.routes),
+        )
+        self.changed()
+
+    def _take_zone(self, zone: str, out: bool) -> None:
+        changed = (
+            self.endpoints.zone_out(zone) if out else self.endpoints.zone_back(zone)
+        )
+        if changed:
+            self.log.write("zone_changed", zone=zone, out=out)
+
+    def _endpoints(self, page: Page, whole: bool) -> None:
+        time_s = now()
+        for key, value in page.records:
+            if value is None:
+                self.endpoints.remove(key, time_s)
+                continue
+            try:
+                record = self.decoder.endpoint(key, value)
+            except RecordError as exc:
+                self.log.write("declaration_rejected", key=key[:64], why=str(exc))
+                continue
+            self.endpoints.declare(record, time_s)
+        if whole:
+            names = [key for key, value in page.records if value is not None]
+            self.endpoints.keep_only(names, time_s)
+
+
+class TopicFollower:
+    """Keeps up with one topic, whatever the store does.
+
+    Attributes:
+      failing: True while the store gives no usable answer.
+    """
+
+    def __init__(
+        self, store: BaseStore, topic: Topic, beliefs: Beliefs, every_s: float
+    ) -> None:
+        """Create a follower.
+
+        Args:
+          store: The store.
+          topic: What to follow.
+          beliefs: What to tell.
+          every_s: Least time between two reads.
+        """
+        self._store = store
+        self._topic = topic
+        self._beliefs = beliefs
+        self._every_s = every_s
+        self._offset: int | None = None
+        self.failing = False
+        self.read_s = now()
+
+    async def run(self) -> None:
+        """Follow the topic for ever."""
+        while True:
+            begun_s = now()
+            try:
+                await self._step()
+            except StoreGapError:
+                self._beliefs.log.write("history_dropped", topic=self._topic.value)
+                self._offset = None
+            except StoreError as exc:
+                self._failed(str(exc))
+                await asyncio.sleep(RETRY_S * (1.0 + random.random()))
+            else:
+                self._back()
+                await asyncio.sleep(max(0.0, self._every_s - (now() - begun_s)))
+
+    async def _step(self) -> None:
+        if self._offset is None:
+            page = await self._store.newest(self._topic)
+            self._beliefs.apply(self._topic, page, whole=True)
+        else:
+            wait_s = (
+                ENDPOINTS_WAIT_S
+                if self._topic is Topic.ENDPOINTS
+                else OPERATORS_WAIT_S
+            )
+            page = await self._store.read(self._topic, self._offset, wait_s)
+            self._beliefs.apply(self._topic, page, whole=False)
+        self._offset = page.end
+        self.read_s = now()
+
+    def _failed(self, why: str) -> None:
+        if self._topic is Topic.ENDPOINTS:
+            self._beliefs.endpoints.store_failed(now())
+        if not self.failing:
+            self.failing = True
+            self._beliefs.log.write("store_lost", topic=self._topic.value, why=why)
+
+    def _back(self) -> None:
+        if not self.failing:
+            return
+        self.failing = False
+        if self._topic is Topic.ENDPOINTS:
+            self._beliefs.endpoints.store_back(now())
+        self._beliefs.log.write(
+            "store_regained", topic=self._topic.value, offset=self._offset
+        )
+
+
+class Follower:
+    """Keeps up with all topics and counts the routers."""
+
+    def __init__(self, store: BaseStore, beliefs: Beliefs, name: str) -> None:
+        """Create a follower.
+
+        Args:
+          store: The store.
+          beliefs: What to tell.
+          name: Name of this router.
+        """
+        self._store = store
+        self._name = name
+        self._beliefs = beliefs
+        self.topics = [
+            TopicFollower(store, Topic.OPERATORS, beliefs, 0.0),
+            TopicFollower(store, Topic.ENDPOINTS, beliefs, ENDPOINTS_EVERY_S),
+        ]
+        self.routers = 0
+
+    async def run(self, address: str) -> None:
+        """Follow everything for ever.
+
+        Args:
+          address: Where peers reach this router.
+        """
+        async with asyncio.TaskGroup() as group:
+            for topic in self.topics:
+                group.create_task(topic.run())
+            group.create_task(self._count_routers(address))
+
+    async def _count_routers(self, address: str) -> None:
+        registered = False
+        while True:
+            pause_s = COUNT_EVERY_S
+            try:
+                if not registered:
+                    await self._store.put(Topic.ROUTERS, self._name, address.encode())
+                    registered = True
+                    pause_s = COUNT_FIRST_S
+                page = await self._store.newest(Topic.ROUTERS)
+                self.routers = len(page.records)
+            except StoreError as exc:
+                self._beliefs.log.write("routers_unknown", why=str(exc))
+                pause_s = COUNT_FIRST_S
+            await asyncio.sleep(pause_s)
+
+
+# Routers start together; counting again soon finds those that were slower.
+COUNT_FIRST_S = 4.0
+# Routers are added rarely; each count is a call to the store.
+COUNT_EVERY_S = 20.0
--- /dev/null
+++ b/cranberrysail/router/load.py
@@ -0,0 +1,134 @@
+"""What this router knows of the load and health of each endpoint."""
+
+from dataclasses import dataclass, field
+
+from cranberrysail.router.endpoints import Endpoint
+
+__all__ = ["EndpointView", "LoadBook", "LoadReport"]
+
+# Reports come with answers; older ones say little of the present load.
+REPORT_LIFE_S = 2.0
+# Weight of a new sample in the averages of an endpoint.
+SAMPLE_WEIGHT = 0.2
+# Time in which an endpoint that failed or was slow is half forgiven.
+FORGIVE_S = 3.0
+# Calls that wait for a first byte longer than this count as unanswered.
+SILENT_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that an endpoint tells with an answer.
+
+    Attributes:
+      running: Calls that it works on, from all routers.
+      waiting: Calls in its queue.
+      slots: Calls that it works on at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True)
+class EndpointView:
+    """This router's view of one incarnation of an endpoint.
+
+    Attributes:
+      others: Open calls of other routers at the last report.
+      reported_s: When the last report came.
+      waiting: Length of its queue at the last report.
+      slowness: Average of the time of an answer over the time expected.
+      failing: Average share of calls that it failed.
+      judged_s: When an answer was last judged.
+      pending: Start of each call that has had no byte of its answer, by call.
+      heard_s: When the last byte came from it.
+    """
+
+    others: float = 0.0
+    reported_s: float = float("-inf")
+    waiting: int = 0
+    slowness: float = 1.0
+    failing: float = 0.0
+    judged_s: float = 0.0
+    heard_s: float = float("-inf")
+    pending: dict[int, float] = field(default_factory=dict)
+
+    def silent(self, now: float) -> bool:
+        """Return whether calls wait there and nothing has come for long."""
+        if not self.pending:
+            return False
+        oldest_s = next(iter(self.pending.values()))
+        return now - max(oldest_s, self.heard_s) > SILENT_S
+
+    def _fade(self, now: float) -> None:
+        keep = 0.5 ** ((now - self.judged_s) / FORGIVE_S)
+        self.slowness = 1.0 + (self.slowness - 1.0) * keep
+        self.failing *= keep
+        self.judged_s = now
+
+    def judge(self, ratio: float, failed: bool, now: float) -> None:
+        """Take how an answer came.
+
+        Args:
+          ratio: Time that it took over the time expected.
+          failed: Whether the endpoint failed the call.
+          now: Current time in seconds.
+        """
+        self._fade(now)
+        self.failing += SAMPLE_WEIGHT * (float(failed) - self.failing)
+        if not failed:
+            self.slowness += SAMPLE_WEIGHT * (min(ratio, 20.0) - self.slowness)
+
+    def burden(self, now: float) -> float:
+        """Return by how much its load counts more than it is."""
+        self._fade(now)
+        return max(1.0, self.slowness) / max(0.1, 1.0 - self.failing)
+
+
+@dataclass
+class LoadBook:
+    """The views of all endpoints."""
+
+    _views: dict[tuple[str, int], EndpointView] = field(default_factory=dict)
+
+    def view(self, endpoint: Endpoint) -> EndpointView:
+        """Return the view of an endpoint."""
+        view = self._views.get(endpoint.key)
+        if view is None:
+            view = self._views[endpoint.key] = EndpointView()
+        return view
+
+    def report(self, endpoint: Endpoint, report: LoadReport, now: float) -> None:
+        """Take a report; what this router has open there is not others' load."""
+        view = self.view(endpoint)
+        view.others = max(0, report.running + report.waiting - endpoint.open)
+        view.waiting = report.waiting
+        view.reported_s = now
+
+    def load(self, endpoint: Endpoint, fallback: float, now: float) -> float:
+        """Return the open calls that an endpoint has, as far as known.
+
+        Args:
+          endpoint: The endpoint.
+          fallback: Others' calls to assume if its report is old.
+          now: Current time in seconds.
+        """
+        view = self.view(endpoint)
+        fresh = now - view.reported_s <= REPORT_LIFE_S
+        return endpoint.open + (view.others if fresh else fallback)
+
+    def mean_others(self, endpoints: list[Endpoint], now: float) -> float:
+        """Return the mean of others' calls over endpoints with fresh reports."""
+        known = [
+            view.others
+            for view in map(self.view, endpoints)
+            if now - view.reported_s <= REPORT_LIFE_S
+        ]
+        return sum(known) / len(known) if known else 0.0
+
+    def keep(self, keys: set[tuple[str, int]]) -> None:
+        """Drop the views of endpoints that are gone."""
+        for key in [key for key in self._views if key not in keys]:
+            del self._views[key]
--- /dev/null
+++ b/cranberrysail/router/placement.py
@@ -0,0 +1,92 @@
+"""Which endpoint a call goes to.
+
+Answers returning chats and shared prompts under uneven load. A prompt's shared
+parts are read once where its calls go to one home, so engines are ranked by
+rendezvous hash of the deepest shared part: all routers agree with no message. A
+home that holds more than its part of the load gives way to the next in rank.
+"""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from cranberrysail.router.endpoints import Endpoint
+
+__all__ = ["Candidate", "PlacementBound", "choose", "chain_key"]
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementBound:
+    """Bounds on the load of one endpoint over the mean of its service.
+
+    Attributes:
+      spill_factor: Multiple of the mean at which the next in rank is taken.
+      spill_slack: Calls beyond that.
+      near_calls: Calls by which an endpoint of another zone must be less loaded
+        to be taken for a plain call.
+    """
+
+    spill_factor: float = 1.25
+    spill_slack: float = 2.0
+    near_calls: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that may take a call.
+
+    Attributes:
+      load: Open calls, weighted with how slow or failing it is.
+      spared: True if others go first, since its connections break or it is
+        silent.
+    """
+
+    endpoint: Endpoint
+    load: float
+    slots: int
+    spared: bool = False
+
+
+def chain_key(parts: tuple[str, ...]) -> str:
+    """Return the deepest part of a prompt that other calls share.
+
+    Args:
+      parts: Ids of the prompt's parts in order; the last is the call's own.
+    """
+    if not parts:
+        return ""
+    return parts[-2] if len(parts) > 1 else parts[0]
+
+
+def choose(
+    candidates: list[Candidate], key: str, zone: str, bound: PlacementBound
+) -> Candidate | None:
+    """Return the endpoint for a call, or None if there is none.
+
+    Args:
+      candidates: Endpoints that may take it.
+      key: What its calls share, or nothing.
+      zone: The router's availability zone.
+      bound: When a home gives way.
+    """
+    if not candidates:
+        return None
+    sound = [c for c in candidates if not c.spared] or candidates
+    if not key:
+        return min(sound, key=lambda c: _plain_cost(c, zone, bound))
+    ranked = sorted(sound, key=lambda c: _rank(key, c.endpoint.name), reverse=True)
+    mean = sum(c.load for c in sound) / len(sound)
+    most = mean * bound.spill_factor + bound.spill_slack
+    for candidate in ranked:
+        if candidate.load <= most and candidate.load < candidate.slots:
+            return candidate
+    return min(sound, key=lambda c: c.load)
+
+
+def _rank(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}/{name}")
+
+
+def _plain_cost(candidate: Candidate, zone: str, bound: PlacementBound) -> float:
+    near = candidate.endpoint.record.zone == zone
+    return candidate.load + (0.0 if near else bound.near_calls)
--- /dev/null
+++ b/cranberrysail/router/process.py
@@ -0,0 +1,221 @@
+"""One serving router: listeners, tasks and signals."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+
+import msgspec
+
+from cranberrysail.router.admin import page_front
+from cranberrysail.router.callerconn import CallerFront
+from cranberrysail.router.clock import now
+from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.dialect import BaseDialect
+from cranberrysail.router.endpoints import (
+    Endpoint,
+    EndpointChange,
+    EndpointDirectory,
+)
+from cranberrysail.router.exchange import Exchange
+from cranberrysail.router.follower import BaseDecoder, Beliefs, Follower
+from cranberrysail.router.load import LoadBook
+from cranberrysail.router.metrics import RouterMetrics
+from cranberrysail.router.selector import Selector
+from cranberrysail.router.store import BaseStore
+
+__all__ = ["ServingRouter"]
+
+TICK_S = 0.25
+# The balancer asks once a second and acts on the second miss.
+BALANCER_LEAVES_S = 2.6
+# Time kept at the end of a planned stop for closing.
+CLOSE_S = 0.5
+
+
+class ServingRouter:
+    """A router with its listeners and its clients."""
+
+    def __init__(
+        self,
+        cfg: RouterConfig,
+        store: BaseStore,
+        decoder: BaseDecoder,
+        dialect: BaseDialect,
+    ) -> None:
+        """Create a router that has not started.
+
+        Args:
+          cfg: Settings.
+          store: Where operators and endpoints declare things.
+          decoder: Reads the store's records.
+          dialect: Translates headers.
+        """
+        self.cfg = cfg
+        self.log = DecisionLog(cfg.name)
+        self.metrics = RouterMetrics()
+        self.endpoints = EndpointDirectory(self._note_endpoint)
+        self.beliefs = Beliefs(self.endpoints, self.log, decoder, self._tables_changed)
+        self.follower = Follower(store, self.beliefs, cfg.name)
+        self.selector = Selector(
+            cfg,
+            self.endpoints,
+            LoadBook(),
+            lambda: self.follower.routers,
+            random.Random(),
+        )
+        self.exchange = Exchange(
+            cfg, self.beliefs, self.selector, dialect, self.log, self.metrics
+        )
+        self.front = CallerFront(self.exchange.serve, self.exchange.refusal)
+        self._store = store
+        self._stop_s: float | None = None
+        self._tasks: list[asyncio.Task] = []
+        self.stopped = asyncio.Event()
+
+    def _note_endpoint(self, change: EndpointChange, endpoint: Endpoint, why: str):
+        record = endpoint.record
+        self.log.write(
+            "endpoint",
+            change=change,
+            endpoint=record.instance,
+            service=record.service,
+            zone=record.zone,
+            count=record.count,
+            why=why,
+        )
+        self.metrics.count("endpoint_changes", change.value)
+        if change is EndpointChange.REMOVED:
+            self.selector.cold.forget(record.instance)
+
+    def _tables_changed(self) -> None:
+        self.front.limits = self.beliefs.tables.limits
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send callers."""
+        return self.beliefs.complete and self._stop_s is None
+
+    def _ready_page(self) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.ready else (503, b"not ready\n")
+
+    def _metrics_page(self) -> tuple[int, bytes]:
+        gauges = {
+            "callers": len(self.front.conns),
+            "calls_open": self.front.busy,
+            "endpoints": len(self.endpoints),
+            "routers": self.follower.routers,
+            "tables_version": self.beliefs.tables.version if self.ready else 0,
+            "connections_opened": self.exchange.pool.opened,
+        }
+        return 200, self.metrics.text(gauges).encode()
+
+    def dump(self) -> dict[str, object]:
+        """Return the router's state for operators, without keys or bodies."""
+        tables = self.beliefs.tables
+        return {
+            "name": self.cfg.name,
+            "zone": self.cfg.zone,
+            "ready": self.ready,
+            "tables": tables.version if tables else None,
+            "routers": self.follower.routers,
+            "zones_out": sorted(self.endpoints.zones_out),
+            "followers": {
+                f._topic.value: {"failing": f.failing, "age_s": now() - f.read_s}
+                for f in self.follower.topics
+            },
+            "endpoints": [
+                {
+                    "name": e.name,
+                    "service": e.record.service,
+                    "zone": e.record.zone,
+                    "state": e.state.value,
+                    "open": e.open,
+                    "cold": e.is_cold(now()),
+                    "unsure": e.unsure,
+                    "age_s": round(now() - e.seen_s, 2),
+                }
+                for e in self.endpoints
+            ],
+        }
+
+    def _dump_page(self) -> tuple[int, bytes]:
+        return 200, msgspec.json.encode(self.dump())
+
+    async def start(self) -> None:
+        """Open the listeners and begin to follow the store."""
+        host, _, port = self.cfg.callers.rpartition(":")
+        await self.front.start(host, int(port))
+        await self._listen(self.cfg.ready, {self.cfg.ready_path: self._ready_page})
+        await self._listen(
+            self.cfg.admin, {"/metrics": self._metrics_page, "/state": self._dump_page}
+        )
+        self._spawn(self.front.sweep())
+        self._spawn(self._tick())
+        self._spawn(self.follower.run(self.cfg.callers))
+        self.log.write("started", zone=self.cfg.zone, callers=self.cfg.callers)
+
+    async def _listen(
+        self, address: str, pages: dict[str, Callable[[], tuple[int, bytes]]]
+    ) -> None:
+        if not address:
+            return
+        host, _, port = address.rpartition(":")
+        front = page_front(pages)
+        await front.start(host, int(port))
+        self._spawn(front.sweep())
+
+    def _spawn(self, work) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.exchange.sweep()
+
+    def request_stop(self) -> None:
+        """Begin the planned stop: callers leave, open calls are finished."""
+        if self._stop_s is not None:
+            return
+        self._stop_s = now()
+        self.front.draining = True
+        self.log.write("stopping", open=self.front.busy)
+        self._spawn(self._stop())
+
+    async def _stop(self) -> None:
+        await asyncio.sleep(BALANCER_LEAVES_S)
+        self.front.stop_listening()
+        self.front.closing_idle = True
+        end_s = self._stop_s + self.cfg.grace_s - CLOSE_S
+        while now() < end_s and (self.front.busy or self.front.conns):
+            await asyncio.sleep(0.05)
+        self.log.write("stopped", open=self.front.busy)
+        self.stopped.set()
+
+    async def run(self) -> None:
+        """Serve until the planned stop is complete."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        stopped = asyncio.ensure_future(self.stopped.wait())
+        await asyncio.wait(
+            [stopped, *self._tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in self._tasks:
+            if task.done() and not task.cancelled():
+                task.result()
+        await stopped
+        self.close()
+
+    def _reload(self) -> None:
+        self.log.write("reloaded", why="a signal asked for it")
+
+    def close(self) -> None:
+        """Close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        self.exchange.pool.close()
+        self._store.close()
