Hash placement ranks over bytes

Cause: xxhash 4 takes no text, so each stream ended with an unexpected error and a closed connection. Errors that a handler did not expect are now logged.

--- a/cranberrysail/router/admin.py
+++ b/cranberrysail/router/admin.py
@@ -15,11 +15,14 @@
     return TEXT, reason.encode() + b"\n"
 
 
-def page_front(pages: dict[str, Page]) -> CallerFront:
+def page_front(
+    pages: dict[str, Page], failed: Callable[[BaseException], None]
+) -> CallerFront:
     """Return a front that serves pages by path.
 
     Args:
       pages: Functions that return status and body, by path.
+      failed: Called with an error of a page.
     """
 
     async def serve(request: CallerRequest, conn: CallerConn) -> None:
@@ -31,4 +34,4 @@
         conn.send_whole(status, TEXT, body)
         await asyncio.sleep(0)
 
-    return CallerFront(serve, _refuse)
+    return CallerFront(serve, _refuse, failed)
--- a/cranberrysail/router/callerconn.py
+++ b/cranberrysail/router/callerconn.py
@@ -79,15 +79,22 @@
       closing_idle: True once idle connections are closed.
     """
 
-    def __init__(self, handler: Handler, refuse: Refuse) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        refuse: Refuse,
+        failed: Callable[[BaseException], None],
+    ) -> None:
         """Create a front.
 
         Args:
           handler: Answers one request on a connection.
           refuse: Returns headers and body for a status and a reason.
+          failed: Called with an error that a handler did not expect.
         """
         self.handler = handler
         self.refuse = refuse
+        self.failed = failed
         self.limits = CallerLimits()
         self.draining = False
         self.closing_idle = False
@@ -265,6 +272,8 @@
         self._task = None
         self._since_s = now()
         failed = not task.cancelled() and task.exception() is not None
+        if failed:
+            self._front.failed(task.exception())
         if self._closing:
             return
         if failed or not self._answered or self.last_answer:
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -84,7 +84,7 @@
 
 
 def _rank(key: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}/{name}")
+    return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
 
 
 def _plain_cost(candidate: Candidate, zone: str, bound: PlacementBound) -> float:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import traceback
 from collections.abc import Callable
 
 import msgspec
@@ -68,7 +69,9 @@
         self.exchange = Exchange(
             cfg, self.beliefs, self.selector, dialect, self.log, self.metrics
         )
-        self.front = CallerFront(self.exchange.serve, self.exchange.refusal)
+        self.front = CallerFront(
+            self.exchange.serve, self.exchange.refusal, self._failed
+        )
         self._store = store
         self._stop_s: float | None = None
         self._tasks: list[asyncio.Task] = []
@@ -89,6 +92,13 @@
         if change is EndpointChange.REMOVED:
             self.selector.cold.forget(record.instance)
 
+    def _failed(self, exc: BaseException) -> None:
+        where = traceback.extract_tb(exc.__traceback__)[-1]
+        self.log.write(
+            "internal_error", why=repr(exc), where=f"{where.name}:{where.lineno}"
+        )
+        self.metrics.count("internal_errors")
+
     def _tables_changed(self) -> None:
         self.front.limits = self.beliefs.tables.limits
 
@@ -162,7 +172,7 @@
         if not address:
             return
         host, _, port = address.rpartition(":")
-        front = page_front(pages)
+        front = page_front(pages, self._failed)
         await front.start(host, int(port))
         self._spawn(front.sweep())
 
