--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -20,6 +20,8 @@
 TENANT = b"cranberrysail-tenant"
 # 0 is first.
 URGENCY = b"cranberrysail-request-urgency"
+# Address of a worker from which the cache of a prompt is fetched first.
+KV_FETCH = b"kv-fetch"
 # Vouches that the answer is the worker's.
 SEAL = b"cranberrysail-response-seal"
 NOT_EXECUTED = b"cranberrysail-not-executed"
@@ -42,7 +44,7 @@
         b"cranberrysail-pin-ms",
         b"cranberrysail-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        KV_FETCH,
     )
 )
 # A caller's Connection header cannot take these away.
@@ -100,6 +102,8 @@
         kept.append((URGENCY, b"%d" % min(max(terms.priority, 0), LEAST_URGENT)))
         if terms.customer:
             kept.append((TENANT, terms.customer.encode()))
+        if terms.cache_from:
+            kept.append((KV_FETCH, terms.cache_from.encode()))
         if resumed:
             kept.append((LAST_EVENT_ID, terms.resume_after))
         return kept
--- a/cranberrysail/router/dialect.py
+++ b/cranberrysail/router/dialect.py
@@ -64,6 +64,7 @@
       customer: Name of the customer, or nothing.
       priority: Urgency, 0 first.
       resume_after: Id of the last event that the caller has, or nothing.
+      cache_from: Address of an endpoint to fetch prompt cache from, or nothing.
     """
 
     instance: str
@@ -71,6 +72,7 @@
     customer: str
     priority: int
     resume_after: bytes = b""
+    cache_from: str = ""
 
 
 class BaseDialect(ABC):
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -248,7 +248,7 @@
                 self._no_endpoint(call, choice)
                 return
             self._log_placed(call, choice)
-            attempt = await self._attempt(call, choice.endpoint)
+            attempt = await self._attempt(call, choice)
             self._metrics.count("attempts", attempt.result.value)
             if attempt.result is AttemptResult.DELIVERED:
                 self._log_done(call, choice.endpoint)
@@ -265,6 +265,7 @@
             endpoint=endpoint.name,
             load=round(choice.load, 1),
             of=choice.candidates,
+            cache_from=choice.cache_source.name if choice.cache_source else None,
             cold=endpoint.is_cold(now()),
             declared_age_s=round(now() - endpoint.seen_s, 2),
             tables=call.tables.version,
@@ -346,7 +347,8 @@
         else:
             self._answer(call.conn, call.head, 502, "outcome_unknown")
 
-    async def _attempt(self, call: Call, endpoint: Endpoint) -> Attempt:
+    async def _attempt(self, call: Call, choice: Choice) -> Attempt:
+        endpoint = choice.endpoint
         service = call.tables.services.get(call.service, Service(call.service))
         self._selector.cold.note(endpoint.name, now())
         if call.ran == 0 and call.not_run == 0:
@@ -361,7 +363,7 @@
             if conn is None:
                 return Attempt(AttemptResult.NOT_SENT, "no connection")
             view.pending[number] = now()
-            return await self._on_connection(call, endpoint, conn, number)
+            return await self._on_connection(call, choice, conn, number)
         finally:
             endpoint.open -= 1
             view.pending.pop(number, None)
@@ -376,11 +378,12 @@
             return None
 
     async def _on_connection(
-        self, call: Call, endpoint: Endpoint, conn: HttpClientConn, number: int
+        self, call: Call, choice: Choice, conn: HttpClientConn, number: int
     ) -> Attempt:
+        endpoint = choice.endpoint
         kept = True
         try:
-            return await self._speak(call, endpoint, conn, number)
+            return await self._speak(call, choice, conn, number)
         except UpstreamError as exc:
             return self._broke(call, endpoint, exc)
         except asyncio.CancelledError:
@@ -425,13 +428,15 @@
             endpoint.open -= 1
             self.pool.release(endpoint, conn)
 
-    def _request_bytes(self, call: Call, endpoint: Endpoint) -> bytes:
+    def _request_bytes(self, call: Call, choice: Choice) -> bytes:
+        source = choice.cache_source
         terms = SendTerms(
-            endpoint.name,
+            choice.endpoint.name,
             max(0.001, call.left_s - REPLY_MARGIN_S),
             call.customer.name if call.customer else "",
             call.priority,
             call.events.last_id,
+            source.record.address if source else "",
         )
         request = call.request
         head = bytearray(request.method.encode("latin-1"))
@@ -443,8 +448,9 @@
         return bytes(head + b"\r\n") + request.body
 
     async def _speak(
-        self, call: Call, endpoint: Endpoint, conn: HttpClientConn, number: int
+        self, call: Call, choice: Choice, conn: HttpClientConn, number: int
     ) -> Attempt:
+        endpoint = choice.endpoint
         wanted = call.head.attempt_id
 
         def is_ours(status: int, headers: Headers) -> bool:
@@ -452,7 +458,7 @@
             return answered in ("", wanted)
 
         sent_s = now()
-        conn.send(self._request_bytes(call, endpoint), is_ours)
+        conn.send(self._request_bytes(call, choice), is_ours)
         call.ran += 1
         await conn.head()
         answer = self._dialect.answer_head(conn.status, conn.headers)
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -158,11 +158,16 @@
             self.endpoints.keep_only(names, time_s)
 
 
+def _nothing() -> None:
+    """Tell nobody."""
+
+
 class TopicFollower:
     """Keeps up with one topic, whatever the store does.
 
     Attributes:
       failing: True while the store gives no usable answer.
+      changed: Called when the store is lost or regained.
     """
 
     def __init__(
@@ -181,15 +186,18 @@
         self._beliefs = beliefs
         self._every_s = every_s
         self._offset: int | None = None
+        self._reading: asyncio.Task | None = None
+        self._doubted = False
         self.failing = False
         self.read_s = now()
+        self.changed: Callable[[], None] = _nothing
 
     async def run(self) -> None:
         """Follow the topic for ever."""
         while True:
             begun_s = now()
             try:
-                await self._step()
+                await self._step_or_doubt()
             except StoreGapError:
                 self._beliefs.log.write("history_dropped", topic=self._topic.value)
                 self._offset = None
@@ -200,27 +208,54 @@
                 self._back()
                 await asyncio.sleep(max(0.0, self._every_s - (now() - begun_s)))
 
+    def doubt(self) -> None:
+        """End a read that waits, since the store failed or came back elsewhere.
+
+        The connection may have gone silent; the next read tells.
+        """
+        if self._reading is not None:
+            self._doubted = True
+            self._reading.cancel()
+
+    async def _step_or_doubt(self) -> None:
+        self._reading = asyncio.ensure_future(self._step())
+        try:
+            await self._reading
+        except asyncio.CancelledError:
+            if not self._doubted:
+                self._reading.cancel()
+                raise
+            raise StoreError("another read of the store failed") from None
+        finally:
+            self._doubted = False
+            self._reading = None
+
     async def _step(self) -> None:
         if self._offset is None:
             page = await self._store.newest(self._topic)
             self._beliefs.apply(self._topic, page, whole=True)
         else:
-            wait_s = (
-                ENDPOINTS_WAIT_S
-                if self._topic is Topic.ENDPOINTS
-                else OPERATORS_WAIT_S
-            )
-            page = await self._store.read(self._topic, self._offset, wait_s)
+            page = await self._store.read(self._topic, self._offset, self._wait_s)
             self._beliefs.apply(self._topic, page, whole=False)
         self._offset = page.end
         self.read_s = now()
 
+    @property
+    def _wait_s(self) -> float:
+        """Return how long a read may wait; one that tests the store does not."""
+        if self.failing:
+            return 0.0
+        if self._topic is Topic.ENDPOINTS:
+            return ENDPOINTS_WAIT_S
+        return OPERATORS_WAIT_S
+
     def _failed(self, why: str) -> None:
         if self._topic is Topic.ENDPOINTS:
             self._beliefs.endpoints.store_failed(now())
         if not self.failing:
             self.failing = True
             self._beliefs.log.write("store_lost", topic=self._topic.value, why=why)
+            self.changed()
 
     def _back(self) -> None:
         if not self.failing:
@@ -231,6 +266,7 @@
         self._beliefs.log.write(
             "store_regained", topic=self._topic.value, offset=self._offset
         )
+        self.changed()
 
 
 class Follower:
@@ -251,8 +287,14 @@
             TopicFollower(store, Topic.OPERATORS, beliefs, 0.0),
             TopicFollower(store, Topic.ENDPOINTS, beliefs, ENDPOINTS_EVERY_S),
         ]
+        for topic in self.topics:
+            topic.changed = self._doubt_all
         self.routers = 0
 
+    def _doubt_all(self) -> None:
+        for topic in self.topics:
+            topic.doubt()
+
     async def run(self, address: str) -> None:
         """Follow everything for ever.
 
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -3,7 +3,8 @@
 Answers returning chats and shared prompts under uneven load. A prompt's shared
 parts are read once where its calls go to one home, so engines are ranked by
 rendezvous hash of the deepest shared part: all routers agree with no message. A
-home that holds more than its part of the load gives way to the next in rank.
+home that holds more than its part of the load gives way to the next in rank,
+which fetches the cache from the home: that costs a sixth of reading it again.
 """
 
 from dataclasses import dataclass
@@ -12,7 +13,7 @@
 
 from cranberrysail.router.endpoints import Endpoint
 
-__all__ = ["Candidate", "PlacementBound", "choose", "chain_key"]
+__all__ = ["Candidate", "PlacementBound", "cache_source", "chain_key", "choose"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +84,20 @@
     return min(sound, key=lambda c: c.load)
 
 
+def cache_source(
+    endpoints: list[Endpoint], key: str, target: Endpoint
+) -> Endpoint | None:
+    """Return the endpoint that most likely holds what a call shares.
+
+    Args:
+      endpoints: Endpoints that can be reached, those that leave included.
+      key: What the call shares with others.
+      target: Where the call goes; it fetches what it does not hold itself.
+    """
+    others = [e for e in endpoints if e is not target]
+    return max(others, key=lambda e: _rank(key, e.name), default=None)
+
+
 def _rank(key: str, name: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
 
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -10,7 +10,7 @@
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory, EndpointState
 from cranberrysail.router.load import LoadBook
 from cranberrysail.router.model import Route, RouteTables, Service
-from cranberrysail.router.placement import Candidate, chain_key, choose
+from cranberrysail.router.placement import Candidate, cache_source, chain_key, choose
 
 __all__ = ["Choice", "Pace", "Selector"]
 
@@ -30,6 +30,7 @@
       load: Its load as believed.
       candidates: Endpoints that could take the call.
       backlog_s: Time until there may be room, if there is none.
+      cache_source: Where the endpoint may fetch cache from, if anywhere.
     """
 
     endpoint: Endpoint | None
@@ -37,6 +38,7 @@
     load: float = 0.0
     candidates: int = 0
     backlog_s: float = 0.0
+    cache_source: Endpoint | None = None
 
 
 @dataclass
@@ -130,7 +132,26 @@
             return Choice(
                 None, RefusalReason.FULL, chosen.load, len(warm), backlog_s=wait_s
             )
-        return Choice(chosen.endpoint, None, chosen.load, len(warm))
+        source = self._cache_source(service_name, key, chosen.endpoint, now)
+        return Choice(
+            chosen.endpoint, None, chosen.load, len(warm), cache_source=source
+        )
+
+    def _cache_source(
+        self, service: str, key: str, target: Endpoint, now: float
+    ) -> Endpoint | None:
+        if not key:
+            return None
+        holders = [
+            e
+            for e in self.endpoints
+            if e.record.service == service
+            and e.record.zone not in self.endpoints.zones_out
+            and e.state is not EndpointState.LAPSED
+            and now >= e.avoid_until_s
+            and not self.loads.view(e).silent(now)
+        ]
+        return cache_source(holders, key, target)
 
     def _bears_one_more(self, endpoint: Endpoint, service: Service, now: float) -> bool:
         if service.cold_rate <= 0 or not endpoint.is_cold(now):
