--- a/cranberrysail/router/endpoints.py
+++ b/cranberrysail/router/endpoints.py
@@ -163,7 +163,9 @@
             return
         if known.state is not EndpointState.LAPSED:
             known.state = EndpointState.LAPSED
-            self.note(EndpointChange.LAPSED, known, "its entry went with the store away")
+            self.note(
+                EndpointChange.LAPSED, known, "its entry went with the store away"
+            )
 
     def _drop(self, endpoint: Endpoint, why: str) -> None:
         del self._endpoints[endpoint.name]
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -203,9 +203,7 @@
         self._log.write("refused", id=head.attempt_id, why=RefusalReason.NO_TABLES)
 
     def _retry_after(self, backlog_s: float, left_s: float) -> float:
-        return retry_after_s(
-            self._cfg.admission, backlog_s, left_s, random.random()
-        )
+        return retry_after_s(self._cfg.admission, backlog_s, left_s, random.random())
 
     async def _carry_in_time(self, call: Call) -> None:
         try:
@@ -368,9 +366,7 @@
             endpoint.open -= 1
             view.pending.pop(number, None)
 
-    async def _connection(
-        self, endpoint: Endpoint, most: int
-    ) -> HttpClientConn | None:
+    async def _connection(self, endpoint: Endpoint, most: int) -> HttpClientConn | None:
         try:
             return await self.pool.acquire(endpoint, most)
         except UpstreamError as exc:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -211,9 +211,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         stopped = asyncio.ensure_future(self.stopped.wait())
-        await asyncio.wait(
-            [stopped, *self._tasks], return_when=asyncio.FIRST_COMPLETED
-        )
+        await asyncio.wait([stopped, *self._tasks], return_when=asyncio.FIRST_COMPLETED)
         for task in self._tasks:
             if task.done() and not task.cancelled():
                 task.result()
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -115,9 +115,7 @@
           now: Current time in seconds.
         """
         service = tables.services.get(service_name, Service(service_name))
-        usable = [
-            e for e in self.endpoints.usable(service_name) if e.name not in tried
-        ]
+        usable = [e for e in self.endpoints.usable(service_name) if e.name not in tried]
         if not usable:
             return Choice(None, RefusalReason.NO_ENDPOINT)
         warm = [e for e in usable if self._bears_one_more(e, service, now)]
--- /dev/null
+++ b/tests/router/world.py
@@ -0,0 +1,330 @@
+"""A router between stand-in callers, workers and a store, in virtual time."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import httptools
+
+from cranberrysail.platform.headers import PlatformDialect
+from cranberrysail.platform.records import PlatformDecoder
+from cranberrysail.router.coldlimit import ColdBound
+from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.memorystore import MemoryStore
+from cranberrysail.router.process import ServingRouter
+from cranberrysail.router.repeats import RepeatBound
+from cranberrysail.router.store import Topic
+
+CALLERS = "10.0.0.1:8000"
+SEAL = "Cranberrysail-Response-Seal: s\r\n"
+
+
+def config(version: int = 1, **changes) -> dict:
+    """Return an operators' document with a route of each kind."""
+    route = {"host": "h.example", "timeout_ms": 4000, "service": "engines"}
+    document = {
+        "version": version,
+        "routes": [
+            {
+                **route,
+                "name": "chat",
+                "path_prefix": "/chat/",
+                "kind": "streaming",
+                "max_attempts": 1,
+            },
+            {
+                **route,
+                "name": "resumable",
+                "path_prefix": "/resumable/",
+                "kind": "streaming",
+                "stream_resumption": True,
+                "max_attempts": 2,
+            },
+            {
+                **route,
+                "name": "book",
+                "path_prefix": "/book/",
+                "kind": "non_idempotent",
+                "service": "plain",
+            },
+            {
+                **route,
+                "name": "look",
+                "path_prefix": "/look/",
+                "kind": "idempotent",
+                "service": "plain",
+                "max_attempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "connection_limit": 300,
+                "cold_per_s": 10.0,
+                "engine": {"slots": 64},
+            },
+            {"name": "plain", "connection_limit": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 10000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "guide", "api_keys": ["k1"], "priority": 1}],
+    }
+    return document | changes
+
+
+@dataclass
+class Heard:
+    """A request that a worker has read."""
+
+    at_s: float
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class WorkerConn(asyncio.Protocol):
+    """A connection at a stand-in worker."""
+
+    def __init__(self, worker: "Worker") -> None:
+        self.worker = worker
+        self.parser = httptools.HttpRequestParser(self)
+        self.open = True
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        self.worker.conns.append(self)
+
+    def connection_lost(self, exc) -> None:
+        self.open = False
+        if self.worker.drops:
+            for task in self.worker.tasks.get(self, []):
+                task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.path = b""
+
+    def on_url(self, url: bytes) -> None:
+        self.path += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        loop = asyncio.get_running_loop()
+        heard = Heard(loop.time(), self.path.decode(), self.headers, self.body)
+        self.worker.heard.append(heard)
+        task = loop.create_task(self.worker.answer(self, heard))
+        self.worker.tasks.setdefault(self, []).append(task)
+
+    def reply(self, status: int, extra: str, body: bytes, attempt: str | None) -> None:
+        """Send a whole answer."""
+        echo = f"Cranberrysail-Attempt-Id: {attempt}\r\n" if attempt else ""
+        head = f"HTTP/1.1 {status} X\r\n{echo}{extra}Content-Length: {len(body)}\r\n"
+        self.transport.write(head.encode() + b"\r\n" + body)
+
+
+async def plain_answer(conn: WorkerConn, heard: Heard) -> None:
+    """Answer like a plain service."""
+    await asyncio.sleep(0.05)
+    conn.reply(200, SEAL, b"fine", heard.headers["cranberrysail-attempt-id"])
+
+
+async def stream_answer(conn: WorkerConn, heard: Heard) -> None:
+    """Answer with three events after what the caller has."""
+    attempt = heard.headers["cranberrysail-attempt-id"]
+    conn.transport.write(
+        (
+            f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+    )
+    for number in range(int(heard.headers.get("last-event-id", 0)) + 1, 4):
+        await asyncio.sleep(0.1)
+        event = f"id: {number}\ndata: part {number}\n\n".encode()
+        conn.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+    conn.transport.write(b"0\r\n\r\n")
+
+
+Answer = Callable[[WorkerConn, Heard], asyncio.Future]
+
+
+@dataclass
+class Worker:
+    """A stand-in worker.
+
+    Attributes:
+      drops: True if it stops work when the connection closes.
+    """
+
+    name: str
+    service: str
+    address: str
+    answer: Answer
+    zone: str = "a"
+    slots: int = 6
+    born: int = 1
+    count: int = 0
+    cold_ms: int = 0
+    state: str = "ready"
+    drops: bool = True
+    heard: list[Heard] = field(default_factory=list)
+    conns: list[WorkerConn] = field(default_factory=list)
+    tasks: dict[WorkerConn, list[asyncio.Task]] = field(default_factory=dict)
+
+    def beat(self) -> bytes:
+        """Return the next entry of the worker."""
+        self.count += 1
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.slots,
+                "state": self.state,
+                "cold_remaining_ms": self.cold_ms,
+                "sequence": self.count,
+                "born": self.born,
+            }
+        ).encode()
+
+
+class Caller(asyncio.Protocol):
+    """A stand-in caller on one connection."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.closed = False
+        self._changed = asyncio.Event()
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        self._changed.set()
+
+    def connection_lost(self, exc) -> None:
+        self.closed = True
+        self._changed.set()
+
+    @property
+    def whole(self) -> bool:
+        """Return whether a whole answer is there."""
+        head, end, body = self.data.partition(b"\r\n\r\n")
+        if not end:
+            return False
+        if b"transfer-encoding: chunked" in head:
+            return body.endswith(b"0\r\n\r\n")
+        length = head.partition(b"content-length: ")[2].split(b"\r\n")[0]
+        return len(body) >= int(length or 0)
+
+    async def answer(self, within_s: float = 20.0) -> bytes:
+        """Wait for a whole answer or the end of the connection."""
+        async with asyncio.timeout(within_s):
+            while not self.whole and not self.closed:
+                self._changed.clear()
+                await self._changed.wait()
+        return self.data
+
+    @property
+    def status(self) -> int:
+        """Return the status of the answer, 0 if none came."""
+        return int(self.data.split(b" ", 2)[1]) if self.data else 0
+
+
+def request(path: str, attempt: str = "a1", body: bytes = b"", **headers) -> bytes:
+    """Return a caller's request."""
+    named = {
+        "Host": "h.example",
+        "Cranberrysail-Attempt-Id": attempt,
+        "Cranberrysail-Credential": "k1",
+        "Cranberrysail-Deadline-Ms": "4000",
+        "Content-Length": str(len(body)),
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = [f"POST {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in named.items() if value]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class World:
+    """A router, its store and its workers."""
+
+    def __init__(self, loop) -> None:
+        self.loop = loop
+        self.store = MemoryStore()
+        self.workers: dict[str, Worker] = {}
+        self.router: ServingRouter | None = None
+        self.lines: list[tuple[str, dict]] = []
+
+    def add_worker(self, name: str, service: str, answer: Answer, **kw) -> Worker:
+        """Start a worker and let it declare itself."""
+        address = f"10.0.1.{len(self.workers) + 1}:80"
+        worker = Worker(name, service, address, answer, **kw)
+        self.workers[name] = worker
+        self.listen(worker)
+        self.declare(worker)
+        return worker
+
+    def listen(self, worker: Worker) -> None:
+        """Let a worker take connections."""
+        host, _, port = worker.address.partition(":")
+        self.loop.servers[host, int(port)] = lambda: WorkerConn(worker)
+
+    def declare(self, worker: Worker) -> None:
+        """Write a worker's next entry."""
+        self.store.write(Topic.ENDPOINTS, worker.name, worker.beat())
+
+    def publish(self, document: dict) -> None:
+        """Publish an operators' document."""
+        self.store.write(Topic.OPERATORS, "config", json.dumps(document).encode())
+
+    async def start(self, wait_s: float = 2.0) -> ServingRouter:
+        """Start the router and wait until it knows what there is."""
+        cfg = RouterConfig(
+            "r1",
+            "a",
+            CALLERS,
+            "10.0.0.1:8001",
+            "10.0.0.1:8002",
+            "store",
+            cold=ColdBound(1.5, 5),
+            repeats=RepeatBound(0.2, 50, 10.0),
+        )
+        self.router = ServingRouter(
+            cfg, self.store, PlatformDecoder(), PlatformDialect()
+        )
+        self.router.log.write = lambda kind, **f: self.lines.append((kind, f))
+        await self.router.start()
+        await asyncio.sleep(wait_s)
+        return self.router
+
+    async def call(self, data: bytes) -> Caller:
+        """Connect a caller and send its request."""
+        host, _, port = CALLERS.partition(":")
+        _, caller = await self.loop.create_connection(Caller, host, int(port))
+        caller.transport.write(data)
+        return caller
+
+    async def ask(self, data: bytes, within_s: float = 20.0) -> Caller:
+        """Send a request and wait for its answer."""
+        caller = await self.call(data)
+        await caller.answer(within_s)
+        return caller
+
+    def kinds(self) -> list[str]:
+        """Return the kinds of the lines logged."""
+        return [kind for kind, _ in self.lines]
