--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -1,7 +1,12 @@
 """The platform's HTTP headers, from and to the router's types."""
 
-from cranberrysail.router.dialect import AnswerHead, BaseDialect, CallHead, Headers
-from cranberrysail.router.dialect import SendTerms
+from cranberrysail.router.dialect import (
+    AnswerHead,
+    BaseDialect,
+    CallHead,
+    Headers,
+    SendTerms,
+)
 from cranberrysail.router.load import LoadReport
 
 __all__ = ["PlatformDialect"]
--- a/cranberrysail/router/callerconn.py
+++ b/cranberrysail/router/callerconn.py
@@ -10,7 +10,7 @@
 from cranberrysail.router.clock import now
 from cranberrysail.router.model import CallerLimits
 
-__all__ = ["CallerConn", "CallerFront", "CallerGone", "CallerRequest"]
+__all__ = ["CallerConn", "CallerFront", "CallerLeftError", "CallerRequest"]
 
 REASONS = {
     200: b"OK",
@@ -34,7 +34,7 @@
 SWEEP_S = 0.5
 
 
-class CallerGone(Exception):
+class CallerLeftError(Exception):
     """The caller closed its connection."""
 
 
@@ -304,17 +304,17 @@
 
     def check_time(self) -> None:
         """Close the connection if the caller takes too long."""
+        if self._task is not None or self._queue:
+            return
         limits = self._front.limits
         waited_s = now() - self._since_s
-        if self._task is not None or self._queue:
+        if self._request is None:
+            if waited_s > limits.idle_s or self._front.closing_idle:
+                self.end()
             return
-        if self._request is not None:
-            if self._in_head and waited_s > limits.header_s:
-                self._reject(408, "request_timeout")
-            elif waited_s > limits.header_s + limits.idle_s:
-                self._reject(408, "request_timeout")
-        elif waited_s > limits.idle_s or self._front.closing_idle:
-            self.end()
+        most_s = limits.header_s if self._in_head else limits.header_s + limits.idle_s
+        if waited_s > most_s:
+            self._reject(408, "request_timeout")
 
     def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytearray:
         if self._front.draining:
@@ -356,10 +356,10 @@
         """Send a part of the body and wait while the caller reads slowly.
 
         Raises:
-          CallerGone: If the caller has left.
+          CallerLeftError: If the caller has left.
         """
         if self._transport.is_closing():
-            raise CallerGone
+            raise CallerLeftError
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._transport.write(data)
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -8,7 +8,7 @@
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.admission import RefusalReason, retry_after_s
-from cranberrysail.router.callerconn import CallerConn, CallerGone, CallerRequest
+from cranberrysail.router.callerconn import CallerConn, CallerLeftError, CallerRequest
 from cranberrysail.router.clock import now
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.connpool import ConnectionPool
@@ -211,7 +211,7 @@
                 await self._carry(call)
         except TimeoutError:
             self._time_over(call)
-        except CallerGone:
+        except CallerLeftError:
             self._log.write("caller_left", id=call.head.attempt_id, ran=call.ran)
         except asyncio.CancelledError:
             self._log.write("caller_left", id=call.head.attempt_id, ran=call.ran)
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -73,3 +73,6 @@
         """Write a record."""
         await self._fail()
         self.write(topic, key, value)
+
+    def close(self) -> None:
+        """Do nothing: there are no connections."""
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -72,5 +72,6 @@
           StoreError: If the store gives no usable answer; it may have written.
         """
 
+    @abstractmethod
     def close(self) -> None:
         """Close all connections."""
