--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -158,7 +158,7 @@
             self.endpoints.keep_only(names, time_s)
 
 
-def _nothing() -> None:
+def _nothing(topic: "TopicFollower") -> None:
     """Tell nobody."""
 
 
@@ -190,7 +190,7 @@
         self._doubted = False
         self.failing = False
         self.read_s = now()
-        self.changed: Callable[[], None] = _nothing
+        self.changed: Callable[[TopicFollower], None] = _nothing
 
     async def run(self) -> None:
         """Follow the topic for ever."""
@@ -255,7 +255,7 @@
         if not self.failing:
             self.failing = True
             self._beliefs.log.write("store_lost", topic=self._topic.value, why=why)
-            self.changed()
+            self.changed(self)
 
     def _back(self) -> None:
         if not self.failing:
@@ -266,7 +266,7 @@
         self._beliefs.log.write(
             "store_regained", topic=self._topic.value, offset=self._offset
         )
-        self.changed()
+        self.changed(self)
 
 
 class Follower:
@@ -288,12 +288,14 @@
             TopicFollower(store, Topic.ENDPOINTS, beliefs, ENDPOINTS_EVERY_S),
         ]
         for topic in self.topics:
-            topic.changed = self._doubt_all
+            topic.changed = self._doubt_others
         self.routers = 0
 
-    def _doubt_all(self) -> None:
+    def _doubt_others(self, changed: TopicFollower) -> None:
+        """Test the store anew where a read may wait on a dead connection."""
         for topic in self.topics:
-            topic.doubt()
+            if topic is not changed and (changed.failing or topic.failing):
+                topic.doubt()
 
     async def run(self, address: str) -> None:
         """Follow everything for ever.
