--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -27,8 +27,8 @@
         to be taken for a plain call.
     """
 
-    spill_factor: float = 1.25
-    spill_slack: float = 2.0
+    spill_factor: float = 1.7
+    spill_slack: float = 3.0
     near_calls: float = 0.5
 
 
