--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -539,10 +539,12 @@
         sent_s: float,
     ) -> Attempt:
         first = True
+        view = self._selector.loads.view(endpoint)
         while data := await conn.read():
             if first:
                 first = False
                 self._heard(call, endpoint, number, sent_s, conn.status)
+            view.heard_s = now()
             events = call.events.feed(data)
             if events:
                 await self._pass_on(call, conn, events)
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -15,7 +15,7 @@
 HIGH_WATER_BYTES = 64 * 1024
 MAX_HEADERS = 128
 # A peer that acknowledges nothing for this long is taken as gone.
-UNACKED_MS = 1500
+UNACKED_MS = 1000
 # An idle peer is probed after a second, and is gone after two lost probes.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_EVERY_S = 1
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -13,7 +13,7 @@
 # Time in which an endpoint that failed or was slow is half forgiven.
 FORGIVE_S = 3.0
 # Calls that wait for a first byte longer than this count as unanswered.
-SILENT_S = 1.5
+SILENT_S = 0.7
 
 
 @dataclass(frozen=True, slots=True)
