--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -19,6 +19,10 @@
 ADMIN_PORT = 9464
 
 
+# A router with a slower link has no room to pass records on to a zone.
+RELAY_MBPS = 20.0
+
+
 class _Addresses(msgspec.Struct):
     front: str
     ready: str
@@ -47,6 +51,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = 1000.0
+
+
 class _NodeFile(msgspec.Struct):
     """The parts of the file that a router needs; others are passed over.
 
@@ -59,6 +67,8 @@
     ip_address: str
     listen_addresses: _Addresses
     platform: _Store
+    internal_port_range: tuple[int, int]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_interval_ms: float = 1200.0
 
@@ -87,6 +97,8 @@
         ready=node.listen_addresses.ready,
         admin=f"{node.ip_address}:{ADMIN_PORT}",
         store=node.platform.address,
+        peers=f"{node.ip_address}:{node.internal_port_range[0]}",
+        relays=node.limits.link_mbps >= RELAY_MBPS,
         ready_path=READY_PATH,
         grace_s=bounds.grace_s,
         beat_s=node.heartbeat_interval_ms / 1000,
--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -1,14 +1,12 @@
 """The platform's metadata store, a log over HTTP."""
 
-import asyncio
 import base64
 import struct
 from urllib.parse import quote
 
 import msgspec
 
-from cranberrysail.errors import UpstreamError
-from cranberrysail.router.httpclient import HttpClientConn, connect
+from cranberrysail.router.httpstore import HttpStoreClient
 from cranberrysail.router.store import (
     BaseStore,
     Page,
@@ -28,9 +26,7 @@
 # An answer takes a few milliseconds; the store may be tens of times slower.
 CALL_S = 1.5
 CONNECT_S = 0.6
-MOST_BYTES = 64 * 1024 * 1024
 READ_KB = 1024
-GAP = 410
 OFFSETS_BYTES = 16
 
 
@@ -92,8 +88,7 @@
         Args:
           address: ``ip:port`` of the store.
         """
-        self._address = address
-        self._conns: dict[Topic, HttpClientConn] = {}
+        self._http = HttpStoreClient(address, CONNECT_S)
         self._newest = msgspec.json.Decoder(_Newest)
 
     async def newest(self, topic: Topic) -> Page:
@@ -105,7 +100,9 @@
             query = f"/v1/log-newest?topic={TOPICS[topic]}&part=0"
             if after:
                 query += f"&after={quote(after, safe='')}"
-            page = self._page(await self._call(topic, "GET", query, b"", CALL_S))
+            page = self._page(
+                await self._http.call(topic.value, "GET", query, b"", CALL_S)
+            )
             end = page.end if end is None else end
             for item in page.items:
                 records.append((item.key, _value(item)))
@@ -125,7 +122,7 @@
             f"/v1/log-read?topic={TOPICS[topic]}&part=0&from={start}"
             f"&max_kb={READ_KB}&wait_ms={int(wait_s * 1000)}"
         )
-        body = await self._call(topic, "GET", query, b"", CALL_S + wait_s)
+        body = await self._http.call(topic.value, "GET", query, b"", CALL_S + wait_s)
         if len(body) < OFFSETS_BYTES:
             raise StoreError("the store's answer is cut; read again")
         _, first = struct.unpack_from(">QQ", body)
@@ -137,53 +134,11 @@
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Write a record."""
         query = f"/v1/log-append?topic={TOPICS[topic]}&part=0"
-        await self._call(topic, "POST", query, encode_record(key, value), CALL_S)
-
-    async def _call(
-        self, topic: Topic, method: str, target: str, body: bytes, timeout_s: float
-    ) -> bytes:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(topic, method, target, body)
-        except TimeoutError as exc:
-            self._drop(topic)
-            raise StoreError(f"the store gave no answer in {timeout_s} s") from exc
-        except UpstreamError as exc:
-            self._drop(topic)
-            raise StoreError(f"the store gave no answer ({exc.reason})") from exc
-        except asyncio.CancelledError:
-            self._drop(topic)
-            raise
-
-    def _drop(self, topic: Topic) -> None:
-        conn = self._conns.pop(topic, None)
-        if conn is not None:
-            conn.close()
-
-    async def _exchange(
-        self, topic: Topic, method: str, target: str, body: bytes
-    ) -> bytes:
-        conn = self._conns.get(topic)
-        if conn is None or not conn.usable:
-            self._drop(topic)
-            conn = self._conns[topic] = await connect(self._address, CONNECT_S)
-        head = f"{method} {target} HTTP/1.1\r\nhost: {self._address}\r\n"
-        if method == "POST":
-            head += f"content-length: {len(body)}\r\n"
-        conn.send(head.encode() + b"\r\n" + body)
-        await conn.head()
-        answer = await conn.read_up_to(MOST_BYTES)
-        conn.rest()
-        if conn.status == GAP:
-            raise StoreGapError("the store dropped the records asked for")
-        if conn.status != 200:
-            raise StoreError(f"the store answered {conn.status}; try again later")
-        return answer
+        await self._http.call("put", "POST", query, encode_record(key, value), CALL_S)
 
     def close(self) -> None:
         """Close all connections."""
-        for topic in list(self._conns):
-            self._drop(topic)
+        self._http.close()
 
 
 def _value(item: _Item) -> bytes | None:
--- a/cranberrysail/router/config.py
+++ b/cranberrysail/router/config.py
@@ -20,6 +20,8 @@
       ready_path: Path of the readiness check.
       admin: ``ip:port`` of metrics and state.
       store: ``ip:port`` of the platform's store.
+      peers: ``ip:port`` of the listener for other routers.
+      relays: True if its link has room to serve them.
       grace_s: Time from the request to stop until the process is killed.
       beat_s: Interval of endpoints' declarations.
       cold: Bound on calls to a cold endpoint.
@@ -34,6 +36,8 @@
     ready: str
     admin: str
     store: str
+    peers: str
+    relays: bool = True
     ready_path: str = "/ready"
     grace_s: float = 8.0
     beat_s: float = 1.2
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -7,9 +7,13 @@
 from dataclasses import dataclass
 
 from cranberrysail.router.clock import now
+from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import EndpointDirectory
 from cranberrysail.router.model import EndpointRecord, RouteTables
+from cranberrysail.router.peers import PeerBook, encode_peer
+from cranberrysail.router.recordrelay import RecordRelay
+from cranberrysail.router.sources import RecordSources
 from cranberrysail.router.store import (
     BaseStore,
     Page,
@@ -24,9 +28,12 @@
 OPERATORS_WAIT_S = 8.0
 # Endpoints declare themselves about every second; reading less often than they
 # write saves calls, and leaves half of the time allowed for a leaving endpoint.
-ENDPOINTS_EVERY_S = 0.9
-ENDPOINTS_WAIT_S = 1.5
+ENDPOINTS_EVERY_S = 1.2
+ENDPOINTS_WAIT_S = 0.2
 RETRY_S = 0.25
+# Time for the list of routers to be read before this one enters itself.
+ENTER_S = 0.25
+ENTER_AGAIN_S = 1.0
 
 
 class RecordError(ValueError):
@@ -68,10 +75,12 @@
     Attributes:
       tables: Newest tables, None before any came; versions never go back.
       endpoints: The endpoints.
+      peers: The routers.
       known: Topics of which a whole list was read.
     """
 
     endpoints: EndpointDirectory
+    peers: PeerBook
     log: DecisionLog
     decoder: BaseDecoder
     changed: Callable[[], None]
@@ -97,9 +106,15 @@
             self._operators(page, whole)
         elif topic is Topic.ENDPOINTS:
             self._endpoints(page, whole)
+        else:
+            self._routers(page, whole)
         if whole:
             self.known.add(topic)
 
+    def _routers(self, page: Page, whole: bool) -> None:
+        for key in self.peers.apply(page, whole):
+            self.log.write("router_entry_rejected", key=key[:64])
+
     def _operators(self, page: Page, whole: bool) -> None:
         newest = dict(page.records)
         for key, value in newest.items():
@@ -171,17 +186,24 @@
     """
 
     def __init__(
-        self, store: BaseStore, topic: Topic, beliefs: Beliefs, every_s: float
+        self,
+        sources: RecordSources,
+        relay: RecordRelay,
+        topic: Topic,
+        beliefs: Beliefs,
+        every_s: float,
     ) -> None:
         """Create a follower.
 
         Args:
-          store: The store.
+          sources: Where to read.
+          relay: What to tell of it to peers.
           topic: What to follow.
           beliefs: What to tell.
           every_s: Least time between two reads.
         """
-        self._store = store
+        self._sources = sources
+        self._relay = relay
         self._topic = topic
         self._beliefs = beliefs
         self._every_s = every_s
@@ -232,10 +254,12 @@
 
     async def _step(self) -> None:
         if self._offset is None:
-            page = await self._store.newest(self._topic)
+            page = await self._sources.newest(self._topic)
+            self._relay.restart(self._topic, page.end)
             self._beliefs.apply(self._topic, page, whole=True)
         else:
-            page = await self._store.read(self._topic, self._offset, self._wait_s)
+            page = await self._sources.read(self._topic, self._offset, self._wait_s)
+            self._relay.extend(self._topic, page)
             self._beliefs.apply(self._topic, page, whole=False)
         self._offset = page.end
         self.read_s = now()
@@ -270,26 +294,31 @@
 
 
 class Follower:
-    """Keeps up with all topics and counts the routers."""
+    """Keeps up with all topics."""
 
-    def __init__(self, store: BaseStore, beliefs: Beliefs, name: str) -> None:
+    def __init__(self, cfg: RouterConfig, store: BaseStore, beliefs: Beliefs) -> None:
         """Create a follower.
 
         Args:
+          cfg: Settings of the router.
           store: The store.
           beliefs: What to tell.
-          name: Name of this router.
         """
+        self._cfg = cfg
         self._store = store
-        self._name = name
         self._beliefs = beliefs
+        self.sources = RecordSources(store, beliefs.peers)
+        self.relay = RecordRelay()
         self.topics = [
-            TopicFollower(store, Topic.OPERATORS, beliefs, 0.0),
-            TopicFollower(store, Topic.ENDPOINTS, beliefs, ENDPOINTS_EVERY_S),
+            TopicFollower(self.sources, self.relay, topic, beliefs, every_s)
+            for topic, every_s in (
+                (Topic.ROUTERS, 0.0),
+                (Topic.OPERATORS, 0.0),
+                (Topic.ENDPOINTS, ENDPOINTS_EVERY_S),
+            )
         ]
         for topic in self.topics:
             topic.changed = self._doubt_others
-        self.routers = 0
 
     def _doubt_others(self, changed: TopicFollower) -> None:
         """Test the store anew where a read may wait on a dead connection."""
@@ -297,35 +326,25 @@
             if topic is not changed and (changed.failing or topic.failing):
                 topic.doubt()
 
-    async def run(self, address: str) -> None:
-        """Follow everything for ever.
-
-        Args:
-          address: Where peers reach this router.
-        """
+    async def run(self) -> None:
+        """Follow everything for ever."""
         async with asyncio.TaskGroup() as group:
             for topic in self.topics:
                 group.create_task(topic.run())
-            group.create_task(self._count_routers(address))
+            group.create_task(self._enter())
 
-    async def _count_routers(self, address: str) -> None:
-        registered = False
+    async def _enter(self) -> None:
+        """Enter this router into the store, unless it stands there."""
+        cfg = self._cfg
+        entry = encode_peer(cfg.zone, cfg.peers, cfg.relays)
         while True:
-            pause_s = COUNT_EVERY_S
+            await asyncio.sleep(ENTER_S)
+            if Topic.ROUTERS not in self._beliefs.known:
+                continue
+            if self._beliefs.peers.has(cfg.name, cfg.peers):
+                return
             try:
-                if not registered:
-                    await self._store.put(Topic.ROUTERS, self._name, address.encode())
-                    registered = True
-                    pause_s = COUNT_FIRST_S
-                page = await self._store.newest(Topic.ROUTERS)
-                self.routers = len(page.records)
+                await self._store.put(Topic.ROUTERS, cfg.name, entry)
             except StoreError as exc:
-                self._beliefs.log.write("routers_unknown", why=str(exc))
-                pause_s = COUNT_FIRST_S
-            await asyncio.sleep(pause_s)
-
-
-# Routers start together; counting again soon finds those that were slower.
-COUNT_FIRST_S = 4.0
-# Routers are added rarely; each count is a call to the store.
-COUNT_EVERY_S = 20.0
+                self._beliefs.log.write("entry_failed", why=str(exc))
+                await asyncio.sleep(ENTER_AGAIN_S)
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import traceback
-from collections.abc import Callable
 
 import msgspec
 
@@ -23,6 +22,7 @@
 from cranberrysail.router.follower import BaseDecoder, Beliefs, Follower
 from cranberrysail.router.load import LoadBook
 from cranberrysail.router.metrics import RouterMetrics
+from cranberrysail.router.peers import PeerBook, peer_front
 from cranberrysail.router.selector import Selector
 from cranberrysail.router.store import BaseStore
 
@@ -57,13 +57,16 @@
         self.log = DecisionLog(cfg.name)
         self.metrics = RouterMetrics()
         self.endpoints = EndpointDirectory(self._note_endpoint)
-        self.beliefs = Beliefs(self.endpoints, self.log, decoder, self._tables_changed)
-        self.follower = Follower(store, self.beliefs, cfg.name)
+        self.peers = PeerBook(cfg.name, cfg.zone)
+        self.beliefs = Beliefs(
+            self.endpoints, self.peers, self.log, decoder, self._tables_changed
+        )
+        self.follower = Follower(cfg, store, self.beliefs)
         self.selector = Selector(
             cfg,
             self.endpoints,
             LoadBook(),
-            lambda: self.follower.routers,
+            lambda: len(self.peers),
             random.Random(),
         )
         self.exchange = Exchange(
@@ -72,7 +75,6 @@
         self.front = CallerFront(
             self.exchange.serve, self.exchange.refusal, self._failed
         )
-        self._store = store
         self._stop_s: float | None = None
         self._tasks: list[asyncio.Task] = []
         self.stopped = asyncio.Event()
@@ -115,7 +117,7 @@
             "callers": len(self.front.conns),
             "calls_open": self.front.busy,
             "endpoints": len(self.endpoints),
-            "routers": self.follower.routers,
+            "routers": len(self.peers),
             "tables_version": self.beliefs.tables.version if self.ready else 0,
             "connections_opened": self.exchange.pool.opened,
         }
@@ -129,7 +131,7 @@
             "zone": self.cfg.zone,
             "ready": self.ready,
             "tables": tables.version if tables else None,
-            "routers": self.follower.routers,
+            "routers": len(self.peers),
             "zones_out": sorted(self.endpoints.zones_out),
             "followers": {
                 f._topic.value: {"failing": f.failing, "age_s": now() - f.read_s}
@@ -157,22 +159,24 @@
         """Open the listeners and begin to follow the store."""
         host, _, port = self.cfg.callers.rpartition(":")
         await self.front.start(host, int(port))
-        await self._listen(self.cfg.ready, {self.cfg.ready_path: self._ready_page})
         await self._listen(
-            self.cfg.admin, {"/metrics": self._metrics_page, "/state": self._dump_page}
+            self.cfg.ready,
+            page_front({self.cfg.ready_path: self._ready_page}, self._failed),
+        )
+        pages = {"/metrics": self._metrics_page, "/state": self._dump_page}
+        await self._listen(self.cfg.admin, page_front(pages, self._failed))
+        follower = self.follower
+        await self._listen(
+            self.cfg.peers,
+            peer_front(follower.relay, lambda: follower.sources.age_s, self._failed),
         )
         self._spawn(self.front.sweep())
         self._spawn(self._tick())
-        self._spawn(self.follower.run(self.cfg.callers))
+        self._spawn(self.follower.run())
         self.log.write("started", zone=self.cfg.zone, callers=self.cfg.callers)
 
-    async def _listen(
-        self, address: str, pages: dict[str, Callable[[], tuple[int, bytes]]]
-    ) -> None:
-        if not address:
-            return
+    async def _listen(self, address: str, front: CallerFront) -> None:
         host, _, port = address.rpartition(":")
-        front = page_front(pages, self._failed)
         await front.start(host, int(port))
         self._spawn(front.sweep())
 
@@ -226,4 +230,4 @@
         for task in self._tasks:
             task.cancel()
         self.exchange.pool.close()
-        self._store.close()
+        self.follower.sources.close()
--- /dev/null
+++ b/cranberrysail/router/sources.py
@@ -0,0 +1,99 @@
+"""Where a router reads the store's records: peers, the store, other peers."""
+
+from dataclasses import dataclass, field
+
+from cranberrysail.router.clock import now
+from cranberrysail.router.peers import Peer, PeerBook, PeerStore
+from cranberrysail.router.store import BaseStore, Page, StoreError, StoreGapError, Topic
+
+__all__ = ["RecordSources"]
+
+# A peer that failed is left alone for this long at first, and then twice as long
+# after each further failure.
+SHUN_S = 2.0
+MOST_SHUN_S = 16.0
+
+
+@dataclass
+class _Shunned:
+    until_s: float = 0.0
+    next_s: float = SHUN_S
+
+
+@dataclass
+class RecordSources:
+    """Reads from the best source that answers.
+
+    Attributes:
+      store: The store itself.
+      book: The other routers.
+      store_read_s: When the store itself last answered.
+    """
+
+    store: BaseStore
+    book: PeerBook
+    store_read_s: float = float("-inf")
+    _peers: dict[str, PeerStore] = field(default_factory=dict)
+    _shunned: dict[str, _Shunned] = field(default_factory=dict)
+
+    async def newest(self, topic: Topic) -> Page:
+        """Return the newest record of each key, from the store.
+
+        Raises:
+          StoreError: If it gives no usable answer.
+        """
+        page = await self.store.newest(topic)
+        self.store_read_s = now()
+        return page
+
+    async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
+        """Return the records from an offset on.
+
+        Raises:
+          StoreGapError: If the store has dropped them.
+          StoreError: If no source answers.
+        """
+        for peer in self.book.before_store():
+            page = await self._from_peer(peer, topic, start, wait_s)
+            if page is not None:
+                return page
+        try:
+            page = await self.store.read(topic, start, wait_s)
+            self.store_read_s = now()
+            return page
+        except StoreGapError:
+            self.store_read_s = now()
+            raise
+        except StoreError:
+            for peer in self.book.after_store():
+                page = await self._from_peer(peer, topic, start, 0.0)
+                if page is not None:
+                    return page
+            raise
+
+    async def _from_peer(
+        self, peer: Peer, topic: Topic, start: int, wait_s: float
+    ) -> Page | None:
+        shunned = self._shunned.setdefault(peer.address, _Shunned())
+        if now() < shunned.until_s:
+            return None
+        client = self._peers.setdefault(peer.address, PeerStore(peer.address))
+        try:
+            page = await client.read(topic, start, wait_s)
+        except StoreError:
+            shunned.until_s = now() + shunned.next_s
+            shunned.next_s = min(shunned.next_s * 2, MOST_SHUN_S)
+            return None
+        shunned.next_s = SHUN_S
+        return page
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the store itself answered."""
+        return now() - self.store_read_s
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._peers.values():
+            client.close()
+        self.store.close()
--- a/tests/router/world.py
+++ b/tests/router/world.py
@@ -301,6 +301,7 @@
             "10.0.0.1:8001",
             "10.0.0.1:8002",
             "store",
+            "10.0.0.1:8003",
             cold=ColdBound(1.5, 5),
             repeats=RepeatBound(0.2, 50, 10.0),
         )
