--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -26,9 +26,6 @@
 
 # Operators' records come rarely: the store answers as soon as there is one.
 OPERATORS_WAIT_S = 8.0
-# Endpoints declare themselves about every second; reading less often than they
-# write saves calls, and leaves half of the time allowed for a leaving endpoint.
-ENDPOINTS_EVERY_S = 1.2
 ENDPOINTS_WAIT_S = 0.2
 RETRY_S = 0.25
 # Time for the list of routers to be read before this one enters itself.
@@ -191,7 +188,6 @@
         relay: RecordRelay,
         topic: Topic,
         beliefs: Beliefs,
-        every_s: float,
     ) -> None:
         """Create a follower.
 
@@ -200,13 +196,11 @@
           relay: What to tell of it to peers.
           topic: What to follow.
           beliefs: What to tell.
-          every_s: Least time between two reads.
         """
         self._sources = sources
         self._relay = relay
         self._topic = topic
         self._beliefs = beliefs
-        self._every_s = every_s
         self._offset: int | None = None
         self._reading: asyncio.Task | None = None
         self._doubted = False
@@ -217,7 +211,6 @@
     async def run(self) -> None:
         """Follow the topic for ever."""
         while True:
-            begun_s = now()
             try:
                 await self._step_or_doubt()
             except StoreGapError:
@@ -228,7 +221,6 @@
                 await asyncio.sleep(RETRY_S * (1.0 + random.random()))
             else:
                 self._back()
-                await asyncio.sleep(max(0.0, self._every_s - (now() - begun_s)))
 
     def doubt(self) -> None:
         """End a read that waits, since the store failed or came back elsewhere.
@@ -310,12 +302,8 @@
         self.sources = RecordSources(store, beliefs.peers)
         self.relay = RecordRelay()
         self.topics = [
-            TopicFollower(self.sources, self.relay, topic, beliefs, every_s)
-            for topic, every_s in (
-                (Topic.ROUTERS, 0.0),
-                (Topic.OPERATORS, 0.0),
-                (Topic.ENDPOINTS, ENDPOINTS_EVERY_S),
-            )
+            TopicFollower(self.sources, self.relay, topic, beliefs)
+            for topic in (Topic.ROUTERS, Topic.OPERATORS, Topic.ENDPOINTS)
         ]
         for topic in self.topics:
             topic.changed = self._doubt_others
--- a/cranberrysail/router/sources.py
+++ b/cranberrysail/router/sources.py
@@ -1,5 +1,6 @@
 """Where a router reads the store's records: peers, the store, other peers."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from cranberrysail.router.clock import now
@@ -12,6 +13,9 @@
 # after each further failure.
 SHUN_S = 2.0
 MOST_SHUN_S = 16.0
+# Endpoints declare themselves about every second; asking the store less often
+# saves calls, and leaves time to spare for an endpoint that leaves.
+STORE_EVERY_S = {Topic.ENDPOINTS: 1.2}
 
 
 @dataclass
@@ -33,6 +37,7 @@
     store: BaseStore
     book: PeerBook
     store_read_s: float = float("-inf")
+    _asked_s: dict[Topic, float] = field(default_factory=dict)
     _peers: dict[str, PeerStore] = field(default_factory=dict)
     _shunned: dict[str, _Shunned] = field(default_factory=dict)
 
@@ -57,6 +62,7 @@
             page = await self._from_peer(peer, topic, start, wait_s)
             if page is not None:
                 return page
+        await self._pace(topic)
         try:
             page = await self.store.read(topic, start, wait_s)
             self.store_read_s = now()
@@ -71,6 +77,13 @@
                     return page
             raise
 
+    async def _pace(self, topic: Topic) -> None:
+        """Wait until the store may be asked again."""
+        due_s = self._asked_s.get(topic, 0.0) + STORE_EVERY_S.get(topic, 0.0)
+        if due_s > now():
+            await asyncio.sleep(due_s - now())
+        self._asked_s[topic] = now()
+
     async def _from_peer(
         self, peer: Peer, topic: Topic, start: int, wait_s: float
     ) -> Page | None:
--- a/tests/router/world.py
+++ b/tests/router/world.py
@@ -268,6 +268,7 @@
         self.store = MemoryStore()
         self.workers: dict[str, Worker] = {}
         self.router: ServingRouter | None = None
+        self.routers: dict[str, ServingRouter] = {}
         self.lines: list[tuple[str, dict]] = []
 
     def add_worker(self, name: str, service: str, answer: Answer, **kw) -> Worker:
@@ -292,26 +293,29 @@
         """Publish an operators' document."""
         self.store.write(Topic.OPERATORS, "config", json.dumps(document).encode())
 
-    async def start(self, wait_s: float = 2.0) -> ServingRouter:
-        """Start the router and wait until it knows what there is."""
+    async def start(
+        self, wait_s: float = 2.0, name: str = "r1", host: str = "10.0.0.1"
+    ) -> ServingRouter:
+        """Start a router and wait until it knows what there is."""
         cfg = RouterConfig(
-            "r1",
+            name,
             "a",
-            CALLERS,
-            "10.0.0.1:8001",
-            "10.0.0.1:8002",
+            f"{host}:8000",
+            f"{host}:8001",
+            f"{host}:8002",
             "store",
-            "10.0.0.1:8003",
+            f"{host}:8003",
             cold=ColdBound(1.5, 5),
             repeats=RepeatBound(0.2, 50, 10.0),
         )
-        self.router = ServingRouter(
-            cfg, self.store, PlatformDecoder(), PlatformDialect()
-        )
-        self.router.log.write = lambda kind, **f: self.lines.append((kind, f))
-        await self.router.start()
+        store = self.store.seen_by(name)
+        router = ServingRouter(cfg, store, PlatformDecoder(), PlatformDialect())
+        router.log.write = lambda kind, **f: self.lines.append((kind, f))
+        self.router = self.router or router
+        self.routers[name] = router
+        await router.start()
         await asyncio.sleep(wait_s)
-        return self.router
+        return router
 
     async def call(self, data: bytes) -> Caller:
         """Connect a caller and send its request."""
