End each HTTP call of ours by its own deadline

Cause of the suite that never ended: the client of a library reads an answer in a task that nothing refers to, so a garbage collection in the middle of an answer ends the task, and the call waits for ever while the connection stays half closed. Shown by a test that collects all the time (it hung on the old code). Calls to the platform and the demo's callers use our own connections, with a deadline over the whole call.

--- a/cranberrysail/demo.py
+++ b/cranberrysail/demo.py
@@ -6,22 +6,23 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from blacksheep.client import ClientSession
-from blacksheep.contents import Content
 
 from cranberrysail.fleet import Fleet, FleetPlan, uuid7
 from cranberrysail.standins import expected_text
 from cranberrysail.tablestate import RowKind
+from cranberrysail.webclient import WebClient
 
 __all__ = ["Caller", "run_demo"]
 
-JSON = b"application/json"
+JSON = "application/json"
 CHATS = 60
 TURNS = 3
 TOKENS = 6
 OUT_WITHIN_S = 3.0
 ZONE_LOAD_S = 2.0
 READY_S = 10.0
+# A caller gives up after this long.
+CALL_S = 30.0
 
 
 class _Delta(msgspec.Struct):
@@ -69,7 +70,7 @@
     fleet: Fleet
     customer: str = "guide"
     results: Counter = field(default_factory=Counter)
-    session: ClientSession = field(default_factory=ClientSession)
+    session: WebClient = field(default_factory=lambda: WebClient(CALL_S))
     _turn: int = 0
 
     def _url(self, path: str) -> str:
@@ -107,13 +108,10 @@
 
     async def _post(self, path: str, body: bytes, headers: dict[str, str]) -> Reply:
         headers["authorization"] = f"Bearer {self.customer}:secret"
-        response = await self.session.post(
-            self._url(path), Content(JSON, body), headers=headers
-        )
-        data = await response.read() or b""
-        outcome = (response.get_first_header(b"x-outcome") or b"").decode()
-        replayed = response.get_first_header(b"x-idempotent-replay") is not None
-        return Reply(response.status, outcome, replayed, data)
+        headers["content-type"] = JSON
+        answer = await self.session.call("POST", self._url(path), headers, body)
+        replayed = bool(answer.header("x-idempotent-replay"))
+        return Reply(answer.status, answer.header("x-outcome"), replayed, answer.body)
 
 
 @dataclass
--- a/cranberrysail/platformlog.py
+++ b/cranberrysail/platformlog.py
@@ -5,12 +5,11 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from blacksheep.client import ClientSession
-from blacksheep.contents import Content
 
-from cranberrysail.errors import LogUnavailableError
+from cranberrysail.errors import LogUnavailableError, UpstreamError
 from cranberrysail.events import ListedHost
 from cranberrysail.tablestate import LogRecord
+from cranberrysail.webclient import WebClient
 
 __all__ = [
     "READ_LIMIT",
@@ -130,9 +129,7 @@
           timeout_s: Time after which a call is given up.
           wait_s: Longest time that the service itself may wait.
         """
-        self._session = ClientSession(
-            connection_timeout=timeout_s, request_timeout=timeout_s + wait_s
-        )
+        self._web = WebClient(timeout_s + wait_s)
 
     async def get(
         self, url: str, headers: dict[str, str] | None = None
@@ -143,12 +140,10 @@
           LogUnavailableError: If there is no answer.
         """
         try:
-            response = await self._session.get(url, headers=headers or {})
-            body = await response.read() or b""
-        except Exception as exc:
-            raise LogUnavailableError(type(exc).__name__) from exc
-        etag = response.get_first_header(b"etag") or b""
-        return response.status, etag.decode("latin-1"), body
+            answer = await self._web.call("GET", url, headers)
+        except UpstreamError as exc:
+            raise LogUnavailableError(exc.reason) from exc
+        return answer.status, answer.header("etag"), answer.body
 
     async def post(self, url: str, data: bytes) -> bytes:
         """Send a body and return the answer's.
@@ -157,19 +152,18 @@
           LogUnavailableError: If there is no answer; the call may have taken
             effect.
         """
-        content = Content(b"application/octet-stream", data)
+        headers = {"content-type": "application/octet-stream"}
         try:
-            response = await self._session.post(url, content)
-            body = await response.read() or b""
-        except Exception as exc:
-            raise LogUnavailableError(type(exc).__name__, True) from exc
-        if response.status != OK:
-            raise LogUnavailableError(f"status {response.status}", True)
-        return body
+            answer = await self._web.call("POST", url, headers, data)
+        except UpstreamError as exc:
+            raise LogUnavailableError(exc.reason, exc.sent) from exc
+        if answer.status != OK:
+            raise LogUnavailableError(f"status {answer.status}", True)
+        return answer.body
 
     async def close(self) -> None:
         """Close the client's connections."""
-        await self._session.close()
+        await self._web.close()
 
 
 class HttpLog(BaseLog):
--- a/cranberrysail/router/connpool.py
+++ b/cranberrysail/router/connpool.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from cranberrysail.errors import UpstreamError
-from cranberrysail.router.clock import now
 from cranberrysail.router.endpoints import Endpoint
 from cranberrysail.router.httpclient import HttpClientConn, connect
 
@@ -66,7 +65,7 @@
 
     def _fresh(self, conn: HttpClientConn) -> bool:
         keep_s = conn.keep_s * IDLE_SHARE if conn.keep_s else IDLE_S
-        return conn.usable and now() - conn.idle_since_s < keep_s
+        return conn.usable and conn.idle_for_s < keep_s
 
     def _closed(self, endpoint: Endpoint) -> None:
         self._open[endpoint.key] -= 1
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -176,9 +176,9 @@
         return not (self._busy and not self.complete) and not self._skipping
 
     @property
-    def transport(self) -> asyncio.Transport:
-        """Return the transport."""
-        return self._transport
+    def idle_for_s(self) -> float:
+        """Return how long ago the last answer was complete."""
+        return now() - self.idle_since_s
 
     def send(self, request: bytes, match: Match | None = None) -> None:
         """Send a request.
@@ -259,12 +259,13 @@
             self._transport.abort()
 
 
-async def connect(address: str, timeout_s: float) -> HttpClientConn:
+async def connect(address: str, timeout_s: float, tls: object = None) -> HttpClientConn:
     """Open a connection.
 
     Args:
       address: ``ip:port`` of the server.
       timeout_s: Longest time to connect.
+      tls: TLS context, or None for plain TCP.
 
     Raises:
       UpstreamError: If no connection is made; nothing was sent.
@@ -273,7 +274,9 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, conn = await loop.create_connection(HttpClientConn, host, int(port))
+            _, conn = await loop.create_connection(
+                HttpClientConn, host, int(port), ssl=tls
+            )
     except TimeoutError as exc:
         raise UpstreamError(f"no connection in {timeout_s} s", sent=False) from exc
     except (OSError, ValueError) as exc:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -84,6 +84,26 @@
     assert runner.run(scenario()) == {"answered": 40}
 
 
+def test_calls_are_answered_though_memory_is_collected_meanwhile(runner, fleet):
+    """Found beside load: the client's task that read an answer was collected."""
+
+    async def collect():
+        while True:
+            gc.collect()
+            await asyncio.sleep(0.005)
+
+    async def scenario():
+        caller = Caller(fleet)
+        collecting = asyncio.ensure_future(collect())
+        engines_all(fleet, "token_s", 0.02)
+        await asyncio.gather(*(caller.chat(f"g{n}", 0) for n in range(10)))
+        engines_all(fleet, "token_s", 0.005)
+        collecting.cancel()
+        return caller.results
+
+    assert runner.run(scenario()) == {"answered": 10}
+
+
 @pytest.mark.parametrize(
     ("method", "path", "body", "headers", "status", "code"),
     [
