--- a/cranberrysail/platform/serve.py
+++ b/cranberrysail/platform/serve.py
@@ -6,7 +6,7 @@
 from cranberrysail.errors import ConfigError
 from cranberrysail.platform.headers import PlatformDialect
 from cranberrysail.platform.records import PlatformDecoder
-from cranberrysail.platform.settings import load
+from cranberrysail.platform.settings import NodeFile
 from cranberrysail.platform.store import PlatformStore
 from cranberrysail.router import decisionlog
 from cranberrysail.router.process import ServingRouter
@@ -17,13 +17,18 @@
 def serve() -> int:
     """Serve until the platform stops the process, and return its exit status."""
     try:
-        cfg = load()
+        settings = NodeFile.from_environment()
+        cfg = settings.load()
     except ConfigError as exc:
         print(exc, file=sys.stderr)
         return exc.exit_code
     decisionlog.configure(decisionlog.standard_output())
     router = ServingRouter(
-        cfg, PlatformStore(cfg.store), PlatformDecoder(), PlatformDialect()
+        cfg,
+        PlatformStore(cfg.store),
+        PlatformDecoder(),
+        PlatformDialect(),
+        settings,
     )
     asyncio.run(router.run())
     return 0
--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -8,10 +8,10 @@
 
 from cranberrysail.errors import ConfigError
 from cranberrysail.router.coldlimit import ColdBound
-from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.config import BaseSettings, RouterConfig
 from cranberrysail.router.repeats import RepeatBound
 
-__all__ = ["SETTINGS_VARIABLE", "ADMIN_PORT", "load", "parse"]
+__all__ = ["ADMIN_PORT", "SETTINGS_VARIABLE", "NodeFile", "parse"]
 
 SETTINGS_VARIABLE = "CRANBERRYSAIL_NODE_FILE"
 READY_PATH = "/v1/readiness"
@@ -109,18 +109,54 @@
     )
 
 
-def load() -> RouterConfig:
-    """Return the settings from the file that the environment names.
-
-    Raises:
-      ConfigError: If there is none or it is not valid.
-    """
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if path is None:
-        fault = f"the variable {SETTINGS_VARIABLE} is not set; run this on the platform"
-        raise ConfigError("environment", [fault])
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as exc:
-        raise ConfigError(path, [f"cannot be read ({exc}); check the path"]) from exc
-    return parse(text, path)
+class NodeFile(BaseSettings):
+    """The settings file that the environment names."""
+
+    def __init__(self, path: str) -> None:
+        """Create a reader.
+
+        Args:
+          path: The file.
+        """
+        self._path = Path(path)
+        self._stamp: tuple[int, int] | None = None
+
+    @classmethod
+    def from_environment(cls) -> "NodeFile":
+        """Return a reader of the file that the environment names.
+
+        Raises:
+          ConfigError: If it names none.
+        """
+        path = os.environ.get(SETTINGS_VARIABLE)
+        if path is None:
+            fault = f"{SETTINGS_VARIABLE} is not set; run this on the platform"
+            raise ConfigError("environment", [fault])
+        return cls(path)
+
+    def _read_stamp(self) -> tuple[int, int] | None:
+        try:
+            stat = self._path.stat()
+        except OSError:
+            return None
+        return (stat.st_mtime_ns, stat.st_size)
+
+    def changed(self) -> bool:
+        """Return whether the file has changed since it was last loaded."""
+        stamp = self._read_stamp()
+        return stamp is not None and stamp != self._stamp
+
+    def load(self) -> RouterConfig:
+        """Return the settings.
+
+        Raises:
+          ConfigError: If the file cannot be read or is not valid.
+        """
+        self._stamp = self._read_stamp()
+        source = str(self._path)
+        try:
+            text = self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            fault = f"cannot be read ({exc}); check the path"
+            raise ConfigError(source, [fault]) from exc
+        return parse(text, source)
--- a/cranberrysail/router/callerconn.py
+++ b/cranberrysail/router/callerconn.py
@@ -276,6 +276,9 @@
             self._front.failed(task.exception())
         if self._closing:
             return
+        if failed and not self._answered:
+            headers, body = self._front.refuse(502, "internal_error")
+            self.send_whole(502, headers, body)
         if failed or not self._answered or self.last_answer:
             self.end()
             return
--- a/cranberrysail/router/config.py
+++ b/cranberrysail/router/config.py
@@ -1,5 +1,6 @@
 """Settings of a serving router, in its own terms."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
 from cranberrysail.router.admission import AdmissionBound
@@ -7,7 +8,23 @@
 from cranberrysail.router.placement import PlacementBound
 from cranberrysail.router.repeats import RepeatBound
 
-__all__ = ["RouterConfig"]
+__all__ = ["BaseSettings", "RouterConfig"]
+
+
+class BaseSettings(ABC):
+    """Where a router's settings come from."""
+
+    @abstractmethod
+    def load(self) -> "RouterConfig":
+        """Return the settings.
+
+        Raises:
+          ConfigError: If they are not valid.
+        """
+
+    @abstractmethod
+    def changed(self) -> bool:
+        """Return whether they have changed since they were last loaded."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -122,6 +122,11 @@
         self._calls = 0
         self.pool = ConnectionPool()
 
+    def configure(self, cfg: RouterConfig) -> None:
+        """Take changed bounds into use."""
+        self._cfg = cfg
+        self._budget.bound = cfg.repeats
+
     async def serve(self, request: CallerRequest, conn: CallerConn) -> None:
         """Answer one request.
 
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -314,6 +314,11 @@
             if topic is not changed and (changed.failing or topic.failing):
                 topic.doubt()
 
+    def doubt_all(self) -> None:
+        """Test every connection, since this router stood still."""
+        for topic in self.topics:
+            topic.doubt()
+
     async def run(self) -> None:
         """Follow everything for ever."""
         async with asyncio.TaskGroup() as group:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -1,16 +1,18 @@
 """One serving router: listeners, tasks and signals."""
 
 import asyncio
+import dataclasses
 import random
 import signal
 import traceback
 
 import msgspec
 
+from cranberrysail.errors import ConfigError
 from cranberrysail.router.admin import page_front
 from cranberrysail.router.callerconn import CallerFront
 from cranberrysail.router.clock import now
-from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.config import BaseSettings, RouterConfig
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.dialect import BaseDialect
 from cranberrysail.router.endpoints import (
@@ -31,6 +33,10 @@
 TICK_S = 0.25
 # The balancer asks once a second and acts on the second miss.
 BALANCER_LEAVES_S = 2.6
+# A tick that is later than this means that the host stood still.
+STOOD_STILL_S = 1.0
+# How often the settings file is looked at; it may change without a signal.
+SETTINGS_EVERY_S = 1.0
 # Time kept at the end of a planned stop for closing.
 CLOSE_S = 0.5
 
@@ -44,6 +50,7 @@
         store: BaseStore,
         decoder: BaseDecoder,
         dialect: BaseDialect,
+        settings: BaseSettings | None = None,
     ) -> None:
         """Create a router that has not started.
 
@@ -52,8 +59,10 @@
           store: Where operators and endpoints declare things.
           decoder: Reads the store's records.
           dialect: Translates headers.
+          settings: Where changed settings come from, if they can change.
         """
         self.cfg = cfg
+        self._settings = settings
         self.log = DecisionLog(cfg.name)
         self.metrics = RouterMetrics()
         self.endpoints = EndpointDirectory(self._note_endpoint)
@@ -172,6 +181,8 @@
         )
         self._spawn(self.front.sweep())
         self._spawn(self._tick())
+        if self._settings is not None:
+            self._spawn(self._watch_settings())
         self._spawn(self.follower.run())
         self.log.write("started", zone=self.cfg.zone, callers=self.cfg.callers)
 
@@ -185,8 +196,19 @@
 
     async def _tick(self) -> None:
         while True:
+            before_s = now()
             await asyncio.sleep(TICK_S)
             self.exchange.sweep()
+            late_s = now() - before_s - TICK_S
+            if late_s > STOOD_STILL_S:
+                self.log.write("stood_still", seconds=round(late_s, 2))
+                self.follower.doubt_all()
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_EVERY_S)
+            if self._settings.changed():
+                self.reload("the file changed")
 
     def request_stop(self) -> None:
         """Begin the planned stop: callers leave, open calls are finished."""
@@ -212,7 +234,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "a signal")
         await self.start()
         stopped = asyncio.ensure_future(self.stopped.wait())
         await asyncio.wait([stopped, *self._tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -222,8 +244,28 @@
         await stopped
         self.close()
 
-    def _reload(self) -> None:
-        self.log.write("reloaded", why="a signal asked for it")
+    def reload(self, why: str) -> None:
+        """Take changed bounds into use; addresses stay until the next start.
+
+        Args:
+          why: What asked for it, for the log.
+        """
+        if self._settings is None:
+            return
+        try:
+            cfg = self._settings.load()
+        except ConfigError as exc:
+            self.log.write("settings_rejected", why=str(exc))
+            return
+        changed = [
+            f.name
+            for f in dataclasses.fields(cfg)
+            if getattr(cfg, f.name) != getattr(self.cfg, f.name)
+        ]
+        self.cfg = cfg
+        self.selector.configure(cfg)
+        self.exchange.configure(cfg)
+        self.log.write("reloaded", why=why, changed=changed)
 
     def close(self) -> None:
         """Close all connections."""
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -79,6 +79,11 @@
     def __post_init__(self) -> None:
         self.cold = ColdLimiter(self.cfg.cold)
 
+    def configure(self, cfg: RouterConfig) -> None:
+        """Take changed bounds into use."""
+        self.cfg = cfg
+        self.cold.bound = cfg.cold
+
     @property
     def fleet(self) -> int:
         """Return the number of routers that may be running."""
