--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -14,7 +14,7 @@
 from expression import Result
 
 from cranberrysail import __version__, jsonc, logs
-from cranberrysail.errors import CranberryError
+from cranberrysail.errors import ConfigError, CranberryError
 from cranberrysail.operators import OperatorClient, Published
 from cranberrysail.platformlog import HttpLog
 from cranberrysail.settings import Settings
@@ -185,13 +185,39 @@
 
 @app.command()
 def explain(
-    request_id: Annotated[str, typer.Argument(help="Value of X-Request-Id.")],
-    operators: OperatorsOption,
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    operators: Annotated[
+        str, typer.Option(help="Operator listener of the router that took it.")
+    ] = "",
     token: TokenOption = "",
+    logs: Annotated[
+        list[str] | None,
+        typer.Option(help="Log file of a router, - for standard input."),
+    ] = None,
 ) -> None:
     """Say what was decided about a request, step by step."""
-    url = f"{operators.rstrip('/')}/explain/{request_id}"
-    typer.echo(_fetch(url, token).rstrip())
+    if bool(operators) == bool(logs):
+        fault = "give either --operators or --logs, so that there is one source"
+        raise ConfigError("explain", [fault])
+    if operators:
+        url = f"{operators.rstrip('/')}/explain/{request_id}"
+        typer.echo(_fetch(url, token).rstrip())
+        return
+    from cranberrysail.router.explain import explain_request, parse_lines
+
+    lines = parse_lines(line for name in logs or () for line in _lines_of(name))
+    for sentence in explain_request(lines, request_id):
+        typer.echo(sentence)
+
+
+def _lines_of(name: str) -> list[str]:
+    """Return the lines of a log file, or of standard input."""
+    if name == "-":
+        return sys.stdin.readlines()
+    try:
+        return Path(name).read_text("utf-8", "replace").splitlines()
+    except OSError as exc:
+        raise ConfigError(name, [f"cannot be read ({exc}); check the path"]) from exc
 
 
 @app.command("replay")
--- a/cranberrysail/platform/records.py
+++ b/cranberrysail/platform/records.py
@@ -90,11 +90,18 @@
     name: str
     connection_limit: int = 64
     cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
     engine: _Engine | None = None
 
     def to_service(self) -> Service:
         slots = self.engine.slots if self.engine else 0
-        return Service(self.name, self.connection_limit, self.cold_per_s, slots)
+        return Service(
+            self.name,
+            self.connection_limit,
+            self.cold_per_s,
+            self.cold_start_s,
+            slots,
+        )
 
 
 class _Limits(msgspec.Struct):
--- a/cranberrysail/router/endpoints.py
+++ b/cranberrysail/router/endpoints.py
@@ -14,6 +14,8 @@
 RETURN_GRACE_S = 2.2
 # A store that failed this recently may have dropped entries of live endpoints.
 LAPSE_MEMORY_S = 4.0
+# A start is declared at once and read within about a second and a half.
+DECLARED_S = 2.6
 # An endpoint whose connection broke is spared this long if others can serve.
 AVOID_S = 1.0
 
@@ -49,8 +51,8 @@
 
     Attributes:
       cold_until_s: Until when it counts as cold.
-      unsure: True from a broken connection until its next declaration; it may
-        have started anew and be cold.
+      unsure: True after a connection broke: it may have started anew and be cold.
+      sure_s: When the doubt ends, if its answers go on without a declaration.
       avoid_until_s: Until when others are used first.
       seen_s: When its newest declaration was read.
       open: Calls that this router has open there.
@@ -61,6 +63,7 @@
     seen_s: float
     cold_until_s: float = 0.0
     unsure: bool = False
+    sure_s: float = math.inf
     avoid_until_s: float = 0.0
     open: int = 0
 
@@ -76,7 +79,7 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether it may bear only what a cold endpoint bears."""
-        return self.unsure or now < self.cold_until_s
+        return (self.unsure and now < self.sure_s) or now < self.cold_until_s
 
 
 def _ignore(change: EndpointChange, endpoint: Endpoint, why: str) -> None:
@@ -125,6 +128,7 @@
         known.record = record
         known.seen_s = now
         known.unsure = False
+        known.sure_s = math.inf
         self._follow_state(known, record)
         self._follow_warmth(known, record, now)
 
@@ -221,10 +225,26 @@
         self._doubt(endpoint, why)
 
     def _doubt(self, endpoint: Endpoint, why: str) -> None:
-        if endpoint.unsure:
-            return
+        new = not endpoint.unsure
         endpoint.unsure = True
-        self.note(EndpointChange.UNSURE, endpoint, why)
+        endpoint.sure_s = math.inf
+        if new:
+            self.note(EndpointChange.UNSURE, endpoint, why)
+
+    def answered(self, endpoint: Endpoint, now: float, cold_s: float) -> None:
+        """Take an answer: the endpoint is up.
+
+        An entry changes only when the endpoint does, so no declaration may follow.
+        One that had started anew would have declared it by the time that counts,
+        and would be warm after the time that its service stays cold.
+
+        Args:
+          endpoint: The endpoint.
+          now: Current time in seconds.
+          cold_s: How long endpoints of its service stay cold.
+        """
+        if endpoint.unsure and endpoint.sure_s == math.inf:
+            endpoint.sure_s = now + max(DECLARED_S, cold_s)
 
     def displaced(self, endpoint: Endpoint, now: float) -> None:
         """Note that another endpoint answers at this one's address."""
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -468,6 +468,9 @@
             conn.reusable = False
         if answer.report is not None:
             self._selector.loads.report(endpoint, answer.report, now())
+        cold_s = call.tables.services.get(call.service, Service("")).cold_s
+        if not answer.displaced:
+            self._beliefs.endpoints.answered(endpoint, now(), cold_s)
         if answer.displaced or answer.not_run:
             call.ran -= 1
             return await self._not_run(endpoint, conn, answer.displaced)
--- a/cranberrysail/router/model.py
+++ b/cranberrysail/router/model.py
@@ -74,12 +74,14 @@
     Attributes:
       max_connections: Connections that one endpoint takes from all routers.
       cold_rate: Calls a second that a cold endpoint bears, 0 if any number.
+      cold_s: How long an endpoint stays cold after its start.
       engine_slots: Calls that a model engine batches, 0 for plain services.
     """
 
     name: str
     max_connections: int = 64
     cold_rate: float = 0.0
+    cold_s: float = 0.0
     engine_slots: int = 0
 
 
