--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -16,6 +16,7 @@
 # The users' bound: an engine holds at most twice the mean of its service and three.
 CAP_FACTOR = 2.0
 CAP_SLACK = 3
+PLACEMENTS = 4000
 
 
 def endpoint(number, zone="a"):
@@ -61,7 +62,7 @@
     endpoints = [endpoint(n, "abc"[n % 3]) for n in range(9)]
     busy = []
     over = 0
-    for placed in range(1, 4001):
+    for _ in range(PLACEMENTS):
         key = "hot" if rng.random() < 0.5 else f"manual-{rng.randrange(60)}"
         chosen = place(endpoints, key, out)
         mean = sum(e.open for e in endpoints) / len(endpoints)
@@ -70,7 +71,7 @@
         busy.append(chosen)
         if len(busy) > 60:
             busy.pop(rng.randrange(len(busy))).open -= 1
-    return over / placed
+    return over / PLACEMENTS
 
 
 def test_a_hot_prompt_overloads_no_engine():
