--- a/cranberrysail/driver.py
+++ b/cranberrysail/driver.py
@@ -21,6 +21,7 @@
     SendPeer,
     Stopped,
 )
+from cranberrysail.calls import GRANT_LIFE_S
 from cranberrysail.errors import CallError, NotRunError
 from cranberrysail.events import (
     AppendDone,
@@ -134,11 +135,17 @@
 
 @dataclass(frozen=True)
 class _Load:
-    """True open calls by zone, and the weight of endpoints in service."""
+    """True open calls by zone, and the weights of endpoints in service.
+
+    Attributes:
+      weight: Sum of the weights.
+      weights: What each endpoint may hold, by name.
+    """
 
     at_s: float
     opens: Counter
     weight: float
+    weights: dict[str, int]
 
 
 class Driver:
@@ -624,12 +631,25 @@
 
     def _pool_load(self, pool: str) -> _Load:
         opens: Counter = Counter()
-        weight = 0.0
+        weights: dict[str, int] = {}
         for engine in self.engines.values():
             if engine.host.pool == pool:
                 opens[engine.host.zone] += len(engine.open)
-                weight += self._weight(engine) if self._serves(engine) else 0.0
-        return _Load(self.now, opens, weight)
+                served = self._serves(engine)
+                weights[engine.host.name] = self._weight(engine) if served else 0
+        return _Load(self.now, opens, float(sum(weights.values())), weights)
+
+    def _granted_weight(self, engine: EngineModel) -> int:
+        """Return what an endpoint might hold when a call now arriving was admitted.
+
+        A grant lives for a while, and in a handover nobody owns the endpoint.
+        """
+        name = engine.host.name
+        return max(
+            load.weights[name]
+            for load in self._loads[engine.host.pool]
+            if self.now - load.at_s <= GRANT_LIFE_S
+        )
 
     def _weight(self, engine: EngineModel) -> int:
         name = engine.host.name
@@ -706,7 +726,7 @@
         weight = max(1.0, min(load.weight for load in recent))
         factor = self._admission.load_factor
         mean = (total + 1) / weight
-        limit = max(1, math.ceil(factor * self._weight(engine) * mean))
+        limit = max(1, math.ceil(factor * self._granted_weight(engine) * mean))
         after = len(engine.open) + 1
         detail = f"{engine.host.name} holds {after}, bound {limit}"
         self.truth.check(Invariant.LOAD_BOUND, after <= limit, self.now, detail)
--- a/cranberrysail/router/coldlimit.py
+++ b/cranberrysail/router/coldlimit.py
@@ -3,10 +3,12 @@
 Answers a zone whose endpoints come back cold while callers press: each falls
 over well above the rate that it bears. A router cannot ask the others in time,
 and some may be cut off, so each takes an equal share of the bound. The shares of
-all routers that could run add up to no more than the bound.
+all routers that could run add up to no more than the bound. Where there are more
+routers than calls, only those that rank first for an endpoint send it any.
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 __all__ = ["ColdBound", "ColdLimiter"]
@@ -15,6 +17,8 @@
 WINDOW_S = 1.0
 # Calls sent in one window may arrive in the next; a longer window covers that.
 MARGIN_S = 0.1
+# Part of the bound that is used where routers are ranked: their lists may differ.
+RANKED_PART = 0.75
 
 
 @dataclass(frozen=True)
@@ -41,24 +45,33 @@
     bound: ColdBound
     _sent: dict[str, deque[float]] = field(default_factory=dict)
 
-    def allows(self, endpoint: str, rate: float, routers: int, now: float) -> bool:
+    def allows(
+        self,
+        endpoint: str,
+        rate: float,
+        routers: int,
+        rank: Callable[[str], int],
+        now: float,
+    ) -> bool:
         """Return whether a call may be sent to a cold endpoint now.
 
         Args:
           endpoint: Id of the endpoint.
           rate: Calls a second that the endpoint bears when cold.
           routers: Routers that may be running, this one included.
+          rank: Returns how many routers rank before this one for an endpoint.
           now: Current time in seconds.
         """
-        share = self.bound.calls(rate) / max(1, routers)
+        bound = self.bound.calls(rate)
+        share = int(bound / max(1, routers))
+        if share < 1 and rank(endpoint) >= int(bound * RANKED_PART):
+            return False
         sent = self._sent.get(endpoint)
         if not sent:
             return True
-        if share < 1.0:
-            return now - sent[-1] >= (WINDOW_S + MARGIN_S) / share
         while sent and now - sent[0] > WINDOW_S + MARGIN_S:
             sent.popleft()
-        return len(sent) < int(share)
+        return len(sent) < max(1, share)
 
     def note(self, endpoint: str, now: float) -> None:
         """Count a call; calls to warm endpoints count too, should they turn cold."""
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -4,6 +4,7 @@
 away while it serves others.
 """
 
+import sys
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -71,6 +72,10 @@
     return msgspec.json.encode(_Entry(zone, address, relays))
 
 
+def _rank(key: str, router: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}/{router}".encode())
+
+
 class PeerBook:
     """The routers that entered themselves into the store."""
 
@@ -110,6 +115,16 @@
             self._peers[key] = Peer(key, entry.zone, entry.address, entry.relays)
         return rejected
 
+    def rank(self, endpoint: str) -> int:
+        """Return how many routers rank before this one for an endpoint.
+
+        All routers agree on the ranks; one that is not entered ranks last.
+        """
+        if self._name not in self._peers:
+            return sys.maxsize
+        own = _rank(endpoint, self._name)
+        return sum(_rank(endpoint, name) > own for name in self._peers)
+
     def before_store(self) -> list[Peer]:
         """Return the peers of this zone to ask before the store.
 
@@ -118,7 +133,7 @@
         """
         order = sorted(
             (p for p in self._peers.values() if p.zone == self._zone and p.relays),
-            key=lambda p: xxhash.xxh3_64_intdigest(p.name.encode()),
+            key=lambda p: _rank("", p.name),
         )
         names = [p.name for p in order]
         if self._name in names:
@@ -131,7 +146,7 @@
         others.sort(
             key=lambda p: (
                 p.zone != self._zone,
-                xxhash.xxh3_64_intdigest(f"{self._name}/{p.name}".encode()),
+                _rank(self._name, p.name),
             )
         )
         return others[:4]
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -75,7 +75,7 @@
             cfg,
             self.endpoints,
             LoadBook(),
-            lambda: len(self.peers),
+            self.peers,
             random.Random(),
         )
         self.exchange = Exchange(
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -1,7 +1,6 @@
 """The choice of an endpoint for one call, from all that this router knows."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cranberrysail.router.admission import RefusalReason, expected_wait_s
@@ -10,6 +9,7 @@
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory, EndpointState
 from cranberrysail.router.load import LoadBook
 from cranberrysail.router.model import Route, RouteTables, Service
+from cranberrysail.router.peers import PeerBook
 from cranberrysail.router.placement import Candidate, cache_source, chain_key, choose
 
 __all__ = ["Choice", "Pace", "Selector"]
@@ -62,7 +62,7 @@
     """Chooses endpoints.
 
     Attributes:
-      routers: Returns the number of routers counted in the store, 0 if unknown.
+      peers: The routers that are entered in the store.
       work: Mean time that a call takes a slot, by service.
       first: Mean time to the first byte, by route.
     """
@@ -70,7 +70,7 @@
     cfg: RouterConfig
     endpoints: EndpointDirectory
     loads: LoadBook
-    routers: Callable[[], int]
+    peers: PeerBook
     rng: random.Random
     cold: ColdLimiter = field(init=False)
     work: Pace = field(default_factory=Pace)
@@ -87,7 +87,7 @@
     @property
     def fleet(self) -> int:
         """Return the number of routers that may be running."""
-        known = self.routers()
+        known = len(self.peers)
         if known == 0:
             return UNKNOWN_ROUTERS
         return known + -(-known // SPARE_SHARE)
@@ -174,7 +174,9 @@
     def _bears_one_more(self, endpoint: Endpoint, service: Service, now: float) -> bool:
         if service.cold_rate <= 0 or not endpoint.is_cold(now):
             return True
-        return self.cold.allows(endpoint.name, service.cold_rate, self.fleet, now)
+        return self.cold.allows(
+            endpoint.name, service.cold_rate, self.fleet, self.peers.rank, now
+        )
 
     def _candidates(self, endpoints: list[Endpoint], now: float) -> list[Candidate]:
         others = self.loads.mean_others(endpoints, now)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the translation to the platform."""
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,98 @@
+"""Headers, translated."""
+
+from cranberrysail.platform.headers import PlatformDialect
+from cranberrysail.router.dialect import SendTerms
+from cranberrysail.router.load import LoadReport
+
+DIALECT = PlatformDialect()
+CALLER = [
+    (b"host", b"h"),
+    (b"cranberrysail-attempt-id", b"a1"),
+    (b"cranberrysail-credential", b"k1"),
+    (b"cranberrysail-deadline-ms", b"12000"),
+    (b"cranberrysail-token-usage", b"1460,80"),
+    (b"cranberrysail-prompt-prefix", b"5c:800,91:410,e4:250"),
+]
+TERMS = SendTerms("i-1", 1.5, "guide", 2)
+
+
+def test_a_callers_head_is_read():
+    head = DIALECT.call_head(CALLER)
+    assert (head.attempt_id, head.key, head.deadline_s) == ("a1", "k1", 12.0)
+    assert head.parts == ("5c", "91", "e4")
+    assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
+
+
+def test_a_head_without_the_optional_headers_is_read():
+    head = DIALECT.call_head([(b"host", b"h")])
+    assert (head.attempt_id, head.key, head.deadline_s, head.parts) == (
+        "",
+        "",
+        None,
+        (),
+    )
+
+
+def test_numbers_that_are_none_are_passed_over():
+    odd = [(b"cranberrysail-deadline-ms", b"-5"), (b"cranberrysail-token-usage", b"x")]
+    head = DIALECT.call_head(odd)
+    assert (head.deadline_s, head.prompt_tokens) == (None, 0)
+
+
+def test_a_worker_gets_ours_in_place_of_the_callers():
+    forged = [(b"cranberrysail-tenant", b"other"), (b"kv-from", b"x"), (b"x-own", b"1")]
+    sent = DIALECT.endpoint_headers([*CALLER, *forged], TERMS)
+    names = [name for name, _ in sent]
+    assert dict(sent)[b"cranberrysail-tenant"] == b"guide"
+    assert dict(sent)[b"cranberrysail-deadline-ms"] == b"1500"
+    assert names.count(b"cranberrysail-deadline-ms") == 1
+    assert b"kv-from" not in names
+    assert b"cranberrysail-credential" not in names
+    assert (b"x-own", b"1") in sent
+
+
+def test_a_connection_header_takes_only_what_it_may():
+    listed = [(b"connection", b"x-hop, cranberrysail-attempt-id"), (b"x-hop", b"1")]
+    names = [n for n, _ in DIALECT.endpoint_headers([*CALLER, *listed], TERMS)]
+    assert b"x-hop" not in names
+    assert b"connection" not in names
+    assert b"cranberrysail-attempt-id" in names
+
+
+def test_a_public_route_passes_no_customer_on():
+    sent = DIALECT.endpoint_headers(CALLER, SendTerms("i-1", 1.0, "", 5))
+    assert b"cranberrysail-tenant" not in dict(sent)
+
+
+def test_a_resumed_stream_names_the_last_event_once():
+    first = [*CALLER, (b"last-event-id", b"2")]
+    sent = DIALECT.endpoint_headers(first, SendTerms("i", 1.0, "", 5, b"7"))
+    assert [v for n, v in sent if n == b"last-event-id"] == [b"7"]
+
+
+def test_a_workers_head_is_read():
+    head = DIALECT.answer_head(
+        200,
+        [
+            (b"cranberrysail-attempt-id", b"a1"),
+            (b"cranberrysail-response-seal", b"s"),
+            (b"cranberrysail-server-load", b"3, 1, 8"),
+            (b"keep-alive", b"timeout=5, max=9"),
+            (b"connection", b"close"),
+        ],
+    )
+    assert head.sealed
+    assert head.closing
+    assert head.keep_s == 5.0
+    assert head.report == LoadReport(3, 1, 8)
+    assert not head.not_run
+
+
+def test_refusals_and_displaced_workers_are_known():
+    assert DIALECT.answer_head(503, [(b"cranberrysail-not-executed", b"1")]).not_run
+    assert DIALECT.answer_head(421, []).displaced
+
+
+def test_an_encoded_answer_is_not_the_workers():
+    headers = [(b"cranberrysail-response-seal", b"s"), (b"content-encoding", b"gzip")]
+    assert not DIALECT.answer_head(200, headers).sealed
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,145 @@
+"""The store's calls, against a stand-in that speaks its protocol."""
+
+import asyncio
+import base64
+import json
+import struct
+
+import httptools
+import pytest
+
+from cranberrysail.platform.store import PlatformStore, decode_records, encode_record
+from cranberrysail.router.store import StoreError, StoreGapError, Topic
+from tests.router.virtual import play
+
+ADDRESS = ("10.9.0.1", 80)
+
+
+class StoreConn(asyncio.Protocol):
+    """A connection at the stand-in store."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.parser = httptools.HttpRequestParser(self)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def connection_lost(self, exc):
+        pass
+
+    def data_received(self, data):
+        self.parser.feed_data(data)
+
+    def on_message_begin(self):
+        self.url = b""
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_message_complete(self):
+        asked = httptools.parse_url(self.url)
+        status, body = self.answers(asked.path.decode(), asked.query.decode())
+        if status == 0:
+            self.transport.abort()
+            return
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.transport.write(head.encode() + body)
+
+
+def with_store(answers, use):
+    async def main(loop):
+        loop.servers[ADDRESS] = lambda: StoreConn(answers)
+        store = PlatformStore("10.9.0.1:80")
+        try:
+            return await use(store)
+        finally:
+            store.close()
+
+    return play(main)
+
+
+def records(*items):
+    return b"".join(encode_record(key, value) for key, value in items)
+
+
+def test_records_go_there_and_back():
+    data = records(("config", b"{}"), ("evacuate/a", b""))
+    assert decode_records(data) == (("config", b"{}"), ("evacuate/a", None))
+
+
+def test_cut_records_are_an_error():
+    with pytest.raises(StoreError):
+        decode_records(records(("config", b"{}"))[:-1])
+
+
+def test_a_read_returns_records_and_where_to_go_on():
+    def answers(path, query):
+        assert path == "/v1/log-read"
+        assert "from=4" in query
+        return 200, struct.pack(">QQ", 6, 0) + records(("a", b"1"), ("b", b"2"))
+
+    page = with_store(answers, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+    assert page.records == (("a", b"1"), ("b", b"2"))
+    assert page.end == 6
+
+
+def test_a_record_without_a_key_still_counts():
+    def answers(path, query):
+        odd = struct.pack(">I", 0)
+        return 200, struct.pack(">QQ", 6, 0) + odd + records(("b", b"2"))
+
+    page = with_store(answers, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+    assert page.records == (("b", b"2"),)
+    assert page.end == 6
+
+
+@pytest.mark.parametrize("answer", [(410, b"{}"), (200, struct.pack(">QQ", 9, 7))])
+def test_dropped_records_are_a_gap(answer):
+    with pytest.raises(StoreGapError):
+        with_store(lambda *_: answer, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+
+
+@pytest.mark.parametrize("answer", [(503, b""), (429, b""), (0, b""), (200, b"cut")])
+def test_other_answers_are_failures(answer):
+    with pytest.raises(StoreError) as caught:
+        with_store(lambda *_: answer, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+    assert not isinstance(caught.value, StoreGapError)
+
+
+def test_the_newest_records_come_by_pages():
+    def answers(path, query):
+        more = "after=" not in query
+        key = "a" if more else "b"
+        value = base64.b64encode(b"1").decode()
+        items = [{"key": key, "value": value, "offset": 4}]
+        end = 8 if more else 12
+        return 200, json.dumps({"items": items, "has_more": more, "end": end}).encode()
+
+    page = with_store(answers, lambda s: s.newest(Topic.OPERATORS))
+    assert page.records == (("a", b"1"), ("b", b"1"))
+    assert page.end == 8
+
+
+def test_an_unreadable_list_is_a_failure():
+    with pytest.raises(StoreError):
+        with_store(lambda *_: (200, b"{"), lambda s: s.newest(Topic.OPERATORS))
+
+
+def test_a_store_that_cannot_be_reached_is_a_failure():
+    async def main(loop):
+        with pytest.raises(StoreError):
+            await PlatformStore("10.9.0.9:80").newest(Topic.OPERATORS)
+
+    play(main)
+
+
+def test_a_silent_store_is_a_failure_in_time():
+    async def main(loop):
+        loop.dark.add(ADDRESS)
+        began_s = loop.time()
+        with pytest.raises(StoreError):
+            await PlatformStore("10.9.0.1:80").newest(Topic.OPERATORS)
+        return loop.time() - began_s
+
+    assert play(main) < 1.6
--- /dev/null
+++ b/tests/router/test_explain.py
@@ -0,0 +1,87 @@
+"""From an id to its cause, and logs that never hold a router up."""
+
+import json
+import os
+
+import pytest
+
+from cranberrysail.router import decisionlog
+from cranberrysail.router.decisionlog import DecisionLog, NonBlockingSink
+from cranberrysail.router.explain import (
+    NoSuchRequestError,
+    explain_request,
+    parse_lines,
+)
+
+
+def line(at, kind, router="r1", **fields):
+    return json.dumps({"at": at, "router": router, "kind": kind} | fields).replace(
+        ": ", ":"
+    )
+
+
+LOG = [
+    line(9.0, "store_lost", topic="endpoints", why="silent"),
+    line(1.0, "store_lost", topic="endpoints", why="long before"),
+    line(9.9, "endpoint", endpoint="e9", change="avoided", why="another one"),
+    "12:00 r1 " + line(10.0, "placed", id="a", endpoint="e1", route="book", attempt=1),
+    "no json at all",
+    '{"at":"yesterday"}',
+    line(10.1, "placed", id="b", endpoint="e1", route="book", attempt=1),
+    line(10.4, "attempt_ended", id="a", endpoint="e1", result="unknown", why="reset"),
+    line(10.4, "endpoint", endpoint="e1", change="unsure", why="reset"),
+    line(10.4, "store_lost", router="r2", topic="endpoints", why="elsewhere"),
+]
+
+
+def test_a_request_is_told_with_what_happened_around_it():
+    told = explain_request(parse_lines(LOG), "a")
+    assert (
+        told[0] == "-1000 ms r1: (around) the store's endpoints cannot be read: silent"
+    )
+    assert "attempt 1 goes to e1" in told[1]
+    assert any("ended it as unknown: reset" in sentence for sentence in told)
+    assert any("(around) e1 is unsure" in sentence for sentence in told)
+    text = "\n".join(told)
+    assert "long before" not in text
+    assert "another one" not in text
+    assert "elsewhere" not in text
+
+
+def test_an_unknown_id_is_an_error_that_says_what_to_do():
+    with pytest.raises(NoSuchRequestError, match="logs of all routers"):
+        explain_request(parse_lines(LOG), "zzz")
+
+
+def test_lines_of_one_kind_are_bounded_and_counted(monkeypatch):
+    written = []
+    log = DecisionLog("r1", clock=lambda: now[0])
+    monkeypatch.setattr(log, "_emit", written.append)
+    now = [5.0]
+    for number in range(decisionlog.LINES_PER_S + 40):
+        log.write("placed", id=str(number))
+    log.write("delivered", id="x")
+    now[0] = 6.0
+    log.write("placed", id="next")
+    kinds = [entry["kind"] for entry in written]
+    assert kinds.count("placed") == decisionlog.LINES_PER_S + 1
+    assert kinds.count("delivered") == 1
+    (left,) = [entry for entry in written if entry["kind"] == "lines_left_out"]
+    assert left["counts"] == {"placed": 40}
+
+
+def test_a_reader_that_reads_nothing_delays_nothing():
+    read_end, write_end = os.pipe()
+    sink = NonBlockingSink(write_end)
+    for _ in range(20_000):
+        sink.write("x" * 99 + "\n")
+    assert sink.dropped > 0
+    os.set_blocking(read_end, False)
+    assert len(os.read(read_end, 1 << 20)) > 0
+    before = sink.dropped
+    sink.flush()
+    sink.write("y\n")
+    assert sink.dropped == before
+    os.close(read_end)
+    sink.write("z\n")
+    os.close(write_end)
--- /dev/null
+++ b/tests/router/test_limits.py
@@ -0,0 +1,106 @@
+"""Bounds that hold for the sum of all routers, though none asks another."""
+
+import random
+
+from cranberrysail.router.admission import (
+    AdmissionBound,
+    expected_wait_s,
+    retry_after_s,
+)
+from cranberrysail.router.coldlimit import ColdBound, ColdLimiter
+from cranberrysail.router.peers import PeerBook, encode_peer
+from cranberrysail.router.repeats import RepeatBound, RepeatBudget
+from cranberrysail.router.store import Page
+
+COLD = ColdBound(1.5, 5)
+REPEATS = RepeatBound(0.2, 56, 10.0)
+
+
+def worst_second(times):
+    times = sorted(times)
+    return max(sum(1 for t in times if s <= t < s + 1.0) for s in times)
+
+
+def press_cold(routers, counted, rate, seed):
+    """Let callers press on all routers; return calls of the worst second."""
+    rng = random.Random(seed)
+    limiters = [ColdLimiter(COLD) for _ in range(routers)]
+    books = [PeerBook(f"r{n}", "a") for n in range(routers)]
+    entries = tuple(
+        (f"r{n}", encode_peer("a", f"10.0.0.{n}:1", True)) for n in range(routers)
+    )
+    for book in books:
+        book.apply(Page(entries, routers), whole=True)
+    sent = []
+    now = 0.0
+    while now < 20.0:
+        now += rng.expovariate(400.0)
+        number = rng.randrange(routers)
+        limiter = limiters[number]
+        if limiter.allows("e", rate, counted, books[number].rank, now):
+            limiter.note("e", now)
+            sent.append(now)
+    return worst_second(sent), len(sent)
+
+
+def test_a_cold_endpoint_gets_no_more_than_it_bears_from_all_routers():
+    for routers, rate in ((8, 16.0), (7, 11.0), (80, 16.0), (3, 4.0)):
+        most, count = press_cold(routers, routers, rate, routers)
+        assert most <= COLD.calls(rate)
+        assert count > 0
+
+
+def test_many_routers_still_let_some_calls_through():
+    _, count = press_cold(80, 80, 16.0, 1)
+    assert count > 20 * COLD.calls(16.0) / 3
+
+
+def test_a_router_that_does_not_know_the_others_sends_nothing_to_a_cold_endpoint():
+    limiter = ColdLimiter(COLD)
+    assert not limiter.allows("e", 16.0, 64, PeerBook("r", "a").rank, 0.0)
+
+
+def test_calls_sent_while_warm_count_when_it_turns_cold():
+    limiter = ColdLimiter(COLD)
+    for number in range(10):
+        limiter.note("e", number / 100)
+    assert not limiter.allows("e", 16.0, 8, lambda _: 0, 0.5)
+    assert limiter.allows("e", 16.0, 8, lambda _: 0, 1.5)
+
+
+def test_repeats_of_all_routers_stay_within_the_bound():
+    rng = random.Random(3)
+    budgets = [RepeatBudget(REPEATS) for _ in range(8)]
+    firsts, repeats = [], []
+    now = 0.0
+    while now < 40.0:
+        now += rng.expovariate(200.0)
+        budget = rng.choice(budgets)
+        budget.first("s", now)
+        firsts.append(now)
+        if budget.spend("s", 8, now):
+            repeats.append(now)
+    for start in range(30):
+        window = [t for t in repeats if start <= t < start + 10]
+        base = [t for t in firsts if start <= t < start + 10]
+        assert len(window) <= REPEATS.ratio * len(base) + REPEATS.slack
+
+
+def test_a_few_repeats_are_there_without_much_traffic():
+    budget = RepeatBudget(REPEATS)
+    assert [budget.spend("s", 8, 0.0) for _ in range(5)] == [True] * 3 + [False] * 2
+
+
+def test_a_full_endpoint_makes_a_call_wait_in_turn():
+    assert expected_wait_s(3, 6, 0.1) == 0.0
+    assert abs(expected_wait_s(11, 6, 0.1) - 0.1) < 1e-9
+
+
+def test_refused_callers_come_back_in_time_and_not_together():
+    bound = AdmissionBound()
+    rng = random.Random(1)
+    times = [retry_after_s(bound, 0.5, 4.0, rng.random()) for _ in range(50)]
+    assert all(0.5 <= t <= 0.75 for t in times)
+    assert len(set(times)) > 40
+    assert retry_after_s(bound, 10.0, 1.5, 0.5) <= 1.5 / 3
+    assert retry_after_s(bound, 10.0, 60.0, 0.5) <= bound.most_retry_s
