Check the load bound against what an owner could know

Two failures of the random test, traced. (2) All routers of a zone stood still for 8 s: the others see that as a cut, where the zone's work fades over 15 s by design, and the check skipped only cuts.

--- a/cranberrysail/driver.py
+++ b/cranberrysail/driver.py
@@ -135,10 +135,10 @@
 
 @dataclass(frozen=True)
 class _Load:
-    """True open calls by zone, and the weights of endpoints in service.
+    """True open calls by zone, and what endpoints may hold.
 
     Attributes:
-      weight: Sum of the weights.
+      weight: Sum over the endpoints in service.
       weights: What each endpoint may hold, by name.
     """
 
@@ -625,19 +625,29 @@
         for zone in {spec.zone for spec in self.specs.values()}:
             if not self._has_news(zone):
                 self._isolated_s[zone] = self.now
-        if self.faults.cuts:
+        if self.faults.cuts or self._has_silent_zone():
             self._cut_s = self.now
         self.at(WATCH_S, self._watch_cuts)
 
+    def _has_silent_zone(self) -> bool:
+        """Return whether no router of some zone runs; others see that as a cut."""
+        running = {
+            self.specs[name].zone
+            for name in self.nodes
+            if self.paused.get(name, 0.0) <= self.now
+        }
+        return running != {spec.zone for spec in self.specs.values()}
+
     def _pool_load(self, pool: str) -> _Load:
         opens: Counter = Counter()
+        weight = 0.0
         weights: dict[str, int] = {}
         for engine in self.engines.values():
             if engine.host.pool == pool:
                 opens[engine.host.zone] += len(engine.open)
-                served = self._serves(engine)
-                weights[engine.host.name] = self._weight(engine) if served else 0
-        return _Load(self.now, opens, float(sum(weights.values())), weights)
+                own = weights[engine.host.name] = self._weight(engine)
+                weight += own if self._serves(engine) else 0.0
+        return _Load(self.now, opens, weight, weights)
 
     def _granted_weight(self, engine: EngineModel) -> int:
         """Return what an endpoint might hold when a call now arriving was admitted.
