--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -37,6 +37,10 @@
     Topic.ROUTERS: ROUTERS_WAIT_S,
 }
 RETRY_S = 0.25
+# Large tables that follow each other are read together after a pause, so that a
+# burst of changes leaves room on the link for callers.
+LARGE_BYTES = 128 * 1024
+AFTER_LARGE_S = 0.5
 # Time for the list of routers to be read before this one enters itself.
 ENTER_S = 0.25
 ENTER_AGAIN_S = 1.0
@@ -260,10 +264,12 @@
             self._beliefs.apply(self._topic, page, whole=True)
         else:
             page = await self._sources.read(self._topic, self._offset, self._wait_s)
-            self._relay.extend(self._topic, page)
+            self._relay.extend(self._topic, self._offset, page)
             self._beliefs.apply(self._topic, page, whole=False)
         self._offset = page.end
         self.read_s = now()
+        if sum(len(value or b"") for _, value in page.records) > LARGE_BYTES:
+            await asyncio.sleep(AFTER_LARGE_S)
 
     @property
     def _wait_s(self) -> float:
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -36,6 +36,9 @@
 # A peer whose own reading is older may miss what the store has.
 FRESH_S = 1.7
 COMPRESSED_FROM_BYTES = 1024
+# First byte of compressed data; encoded records begin with another.
+ZLIB_MARK = b"\x78"
+Records = tuple[tuple[str, bytes | None], ...]
 BINARY = [(b"content-type", b"application/octet-stream")]
 
 
@@ -52,7 +55,14 @@
 
 
 class _PeerPage(msgspec.Struct):
-    records: list[tuple[str, bytes | None]]
+    """What a router passes on.
+
+    Attributes:
+      records: Encoded records, compressed if that is worth it.
+      age_s: Age of the router's own reading of the store.
+    """
+
+    records: bytes
     end: int
     age_s: float
 
@@ -174,12 +184,13 @@
         target = f"{PATH}?topic={topic.value}&from={start}&wait_ms={wait_s * 1000:.0f}"
         body = await self._http.call(topic.value, "GET", target, b"", wait_s + ANSWER_S)
         try:
-            page = self._pages.decode(_unpack(body))
+            page = self._pages.decode(body)
+            records = _unpack(page.records)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise StoreError(f"the peer's answer cannot be read ({exc})") from exc
         if page.age_s >= FRESH_S:
             raise StaleError(f"the peer's own reading is {page.age_s:.1f} s old")
-        return Page(tuple(page.records), page.end)
+        return Page(records, page.end)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Refuse: only the store takes records."""
@@ -190,14 +201,27 @@
         self._http.close()
 
 
-def _pack(data: bytes) -> bytes:
-    if len(data) < COMPRESSED_FROM_BYTES:
-        return b"\x00" + data
-    return b"\x01" + zlib.compress(data, 1)
+class _Packer:
+    """Encodes records; the peers of a zone ask for the same ones."""
+
+    def __init__(self) -> None:
+        self._last: tuple[Records, bytes] = ((), _encode(()))
+
+    def __call__(self, records: Records) -> bytes:
+        if records != self._last[0]:
+            self._last = (records, _encode(records))
+        return self._last[1]
+
+
+def _encode(records: Records) -> bytes:
+    data = msgspec.msgpack.encode(records)
+    return zlib.compress(data, 1) if len(data) >= COMPRESSED_FROM_BYTES else data
 
 
-def _unpack(data: bytes) -> bytes:
-    return zlib.decompress(data[1:]) if data[:1] == b"\x01" else data[1:]
+def _unpack(data: bytes) -> Records:
+    if data[:1] == ZLIB_MARK:
+        data = zlib.decompress(data)
+    return msgspec.msgpack.decode(data, type=Records)
 
 
 def peer_front(
@@ -212,6 +236,7 @@
       age_s: Returns the age of this router's own reading of the store.
       failed: Called with an error that was not expected.
     """
+    packed = _Packer()
 
     async def serve(request: CallerRequest, conn: CallerConn) -> None:
         try:
@@ -225,8 +250,8 @@
         except StoreGapError:
             conn.send_whole(410, BINARY, b"")
             return
-        answer = _PeerPage(list(page.records), page.end, age_s())
-        conn.send_whole(200, BINARY, _pack(msgspec.msgpack.encode(answer)))
+        answer = _PeerPage(packed(page.records), page.end, age_s())
+        conn.send_whole(200, BINARY, msgspec.msgpack.encode(answer))
 
     def refuse(status: int, reason: str):
         return BINARY, reason.encode() + b"\n"
--- a/cranberrysail/router/recordrelay.py
+++ b/cranberrysail/router/recordrelay.py
@@ -1,48 +1,49 @@
 """Recent records of the store, for the routers beside this one."""
 
 import asyncio
-from collections import deque
 from dataclasses import dataclass, field
 
 from cranberrysail.router.store import Page, StoreGapError, Topic
 
 __all__ = ["RecordRelay"]
 
-# Records are kept so that a router that was away for seconds finds them.
-KEEP_BYTES = 192 * 1024
-KEEP_RECORDS = 256
-
-Record = tuple[str, bytes | None]
+# Keys of which the newest record is kept; beyond that the oldest goes.
+KEEP_KEYS = 2048
 
 
 @dataclass
 class _Recent:
-    """The newest records of one topic, in order.
+    """The newest record of each key of one topic, oldest first.
 
     Attributes:
-      first: Offset of the oldest that is kept.
+      first: Offset from which on nothing is missing.
+      end: Offset after the newest.
+      records: Values by key, each with the end of the page that brought it.
     """
 
-    first: int = 0
-    bytes: int = 0
-    records: deque[Record] = field(default_factory=deque)
+    first: int
+    end: int
+    records: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)
     news: asyncio.Event = field(default_factory=asyncio.Event)
 
-    @property
-    def end(self) -> int:
-        return self.first + len(self.records)
-
-    def extend(self, records: tuple[Record, ...]) -> None:
-        for record in records:
-            self.records.append(record)
-            self.bytes += len(record[1] or b"")
-        while len(self.records) > KEEP_RECORDS or self.bytes > KEEP_BYTES:
-            _, value = self.records.popleft()
-            self.bytes -= len(value or b"")
-            self.first += 1
+    def extend(self, page: Page) -> None:
+        for key, value in page.records:
+            self.records.pop(key, None)
+            self.records[key] = (page.end, value)
+        while len(self.records) > KEEP_KEYS:
+            oldest = next(iter(self.records))
+            self.first = self.records.pop(oldest)[0]
+        self.end = page.end
         self.news.set()
         self.news = asyncio.Event()
 
+    def since(self, start: int) -> Page:
+        """Return what follows an offset; of each key only the newest record."""
+        records = tuple(
+            (key, value) for key, (end, value) in self.records.items() if end > start
+        )
+        return Page(records, self.end)
+
 
 @dataclass
 class RecordRelay:
@@ -57,17 +58,26 @@
           topic: The topic.
           end: Offset at which reading goes on.
         """
-        self._topics[topic] = _Recent(first=end)
+        self._topics[topic] = _Recent(end, end)
 
-    def extend(self, topic: Topic, page: Page) -> None:
-        """Add records that follow those kept."""
+    def extend(self, topic: Topic, start: int, page: Page) -> None:
+        """Add records that follow those kept.
+
+        Args:
+          topic: The topic.
+          start: Offset at which they were asked for.
+          page: The records.
+        """
         recent = self._topics.get(topic)
-        if recent is not None and recent.end + len(page.records) == page.end:
-            recent.extend(page.records)
+        if recent is not None and recent.end == start and page.end > start:
+            recent.extend(page)
 
     async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
         """Return records from an offset on, waiting until there is one.
 
+        Of each key only the newest record is returned, so that a burst of tables
+        is passed on as one.
+
         Raises:
           StoreGapError: If records from there on are not kept.
         """
@@ -82,5 +92,4 @@
             return Page((), start)
         if start < recent.first:
             raise StoreGapError("these records are not kept here; read the store")
-        records = tuple(recent.records)[start - recent.first :]
-        return Page(records, start + len(records))
+        return recent.since(start)
