--- a/cranberrysail/relay.py
+++ b/cranberrysail/relay.py
@@ -6,12 +6,12 @@
 from blacksheep.contents import StreamedContent
 
 from cranberrysail.errors import UpstreamError
+from cranberrysail.router.sse import EVENT_END, last_event_id
 from cranberrysail.upstream import UpstreamCall
 
 __all__ = ["DONE_EVENT", "EventRelay", "PlainRelay", "RelayContent"]
 
 DONE_EVENT = b"data: [DONE]\n\n"
-EVENT_END = b"\n\n"
 ERROR_EVENT = (
     b"event: error\n"
     b'data: {"error":{"code":"broken","outcome":"outcome_unknown","message":'
@@ -206,12 +206,3 @@
                 continue
             return True
         return False
-
-
-def last_event_id(events: bytes) -> bytes:
-    """Return the id of the last event that has one, or nothing."""
-    start = events.rfind(b"\nid: ")
-    if start < 0:
-        return events[4 : events.find(b"\n")] if events.startswith(b"id: ") else b""
-    start += len(b"\nid: ")
-    return events[start : events.find(b"\n", start)]
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -1,6 +1,6 @@
 """Whole events of a Server-Sent Events stream."""
 
-__all__ = ["EventSplitter", "last_event_id"]
+__all__ = ["EVENT_END", "EventSplitter", "last_event_id"]
 
 EVENT_END = b"\n\n"
 
