--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import TypeVar
 
 import httptools
 
@@ -21,6 +22,7 @@
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_PROBES = 2
 
+C = TypeVar("C", bound="HttpClientConn")
 Match = Callable[[int, list[tuple[bytes, bytes]]], bool]
 
 
@@ -175,6 +177,11 @@
             return False
         return not (self._busy and not self.complete) and not self._skipping
 
+    @property
+    def waiting(self) -> bool:
+        """Return whether a reader waits for the server."""
+        return self._waiter is not None
+
     @property
     def idle_for_s(self) -> float:
         """Return how long ago the last answer was complete."""
@@ -259,13 +266,19 @@
             self._transport.abort()
 
 
-async def connect(address: str, timeout_s: float, tls: object = None) -> HttpClientConn:
+async def connect(
+    address: str,
+    timeout_s: float,
+    tls: object = None,
+    kind: type[C] = HttpClientConn,
+) -> C:
     """Open a connection.
 
     Args:
       address: ``ip:port`` of the server.
       timeout_s: Longest time to connect.
       tls: TLS context, or None for plain TCP.
+      kind: Class of the connection.
 
     Raises:
       UpstreamError: If no connection is made; nothing was sent.
@@ -274,9 +287,7 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, conn = await loop.create_connection(
-                HttpClientConn, host, int(port), ssl=tls
-            )
+            _, conn = await loop.create_connection(kind, host, int(port), ssl=tls)
     except TimeoutError as exc:
         raise UpstreamError(f"no connection in {timeout_s} s", sent=False) from exc
     except (OSError, ValueError) as exc:
