--- a/tests/router/virtual.py
+++ b/tests/router/virtual.py
@@ -7,6 +7,8 @@
 from cranberrysail.router import clock
 
 DELAY_S = 0.001
+# Timers of the same moment run in any order; what follows on a link is later.
+ORDER_S = 1e-6
 
 
 class MemoryTransport(asyncio.Transport):
@@ -23,9 +25,13 @@
         self._ended = False
         self._paused = False
         self._held: list[bytes] = []
+        self._last_s = 0.0
 
     def _later(self, work: Callable[..., None], *args: Any) -> None:
-        self.loop.call_later(DELAY_S, work, *args)
+        """Do something at the other end, after all that was done there before."""
+        at_s = max(self.loop.time() + DELAY_S, self._last_s + ORDER_S)
+        self._last_s = at_s
+        self.loop.call_at(at_s, work, *args)
 
     def write(self, data: bytes) -> None:
         if self._closing or self._ended:
--- a/tests/router/world.py
+++ b/tests/router/world.py
@@ -16,7 +16,7 @@
 from cranberrysail.router.repeats import RepeatBound
 from cranberrysail.router.store import Topic
 
-CALLERS = "10.0.0.1:8000"
+CALLERS_PORT = 8000
 SEAL = "Cranberrysail-Response-Seal: s\r\n"
 
 
@@ -300,7 +300,7 @@
         cfg = RouterConfig(
             name,
             "a",
-            f"{host}:8000",
+            f"{host}:{CALLERS_PORT}",
             f"{host}:8001",
             f"{host}:8002",
             "store",
@@ -317,10 +317,17 @@
         await asyncio.sleep(wait_s)
         return router
 
-    async def call(self, data: bytes) -> Caller:
+    def kill(self, router: ServingRouter, host: str) -> None:
+        """Take a router's process away."""
+        for address in [a for a in self.loop.servers if a[0] == host]:
+            del self.loop.servers[address]
+        for conn in list(router.front.conns):
+            conn.break_off()
+        router.close()
+
+    async def call(self, data: bytes, host: str = "10.0.0.1") -> Caller:
         """Connect a caller and send its request."""
-        host, _, port = CALLERS.partition(":")
-        _, caller = await self.loop.create_connection(Caller, host, int(port))
+        _, caller = await self.loop.create_connection(Caller, host, CALLERS_PORT)
         caller.transport.write(data)
         return caller
 
