Count an answer as slow only beyond what reading a prompt explains; a model of engines

First answers differ several times over by how much of a prompt is read, so homes counted as slow and gave way.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(PY) -m bench.relay
 	$(PY) -m bench.admission
 	$(PY) -m bench.placement $(SEED)
+	$(PY) -m bench.serving $(SEED)
 	$(PY) -m bench.faults zonemoves $(SEED)
 	$(PY) -m bench.faults surge $(SEED)
 	$(PY) -m bench.faults bookings $(SEED)
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -12,6 +12,10 @@
 SAMPLE_WEIGHT = 0.2
 # Time in which an endpoint that failed or was slow is half forgiven.
 FORGIVE_S = 3.0
+# A first answer may take this many times the mean without its endpoint being slow.
+USUAL_SPREAD = 2.0
+# One answer counts as no slower than this many times the mean.
+MOST_SLOW = 10.0
 # Calls that wait for a first byte longer than this count as unanswered.
 SILENT_S = 0.7
 
@@ -79,12 +83,17 @@
         self._fade(now)
         self.failing += SAMPLE_WEIGHT * (float(failed) - self.failing)
         if not failed:
-            self.slowness += SAMPLE_WEIGHT * (min(ratio, 20.0) - self.slowness)
+            self.slowness += SAMPLE_WEIGHT * (min(ratio, MOST_SLOW) - self.slowness)
 
     def burden(self, now: float) -> float:
-        """Return by how much its load counts more than it is."""
+        """Return by how much its load counts more than it is.
+
+        First answers differ several times over by how much of a prompt is read, so
+        a ratio counts only beyond that.
+        """
         self._fade(now)
-        return max(1.0, self.slowness) / max(0.1, 1.0 - self.failing)
+        slow = max(1.0, self.slowness / USUAL_SPREAD)
+        return slow / max(0.1, 1.0 - self.failing)
 
 
 @dataclass
--- /dev/null
+++ b/tests/router/test_load.py
@@ -0,0 +1,69 @@
+"""What a router makes of reports and answers."""
+
+from cranberrysail.router.endpoints import Endpoint, EndpointState
+from cranberrysail.router.load import EndpointView, LoadBook, LoadReport
+from cranberrysail.router.model import EndpointRecord
+
+
+def endpoint(name="e"):
+    record = EndpointRecord(name, 1, 1, "s", "10.0.0.1:80", "a", 8)
+    return Endpoint(record, EndpointState.READY, 0.0)
+
+
+def test_own_calls_are_not_counted_twice():
+    book = LoadBook()
+    one = endpoint()
+    one.open = 2
+    book.report(one, LoadReport(5, 1, 8), 10.0)
+    assert book.load(one, 0.0, 10.0) == 6
+    one.open = 3
+    assert book.load(one, 0.0, 10.5) == 7
+
+
+def test_an_old_report_gives_way_to_what_others_have():
+    book = LoadBook()
+    one, two = endpoint("a"), endpoint("b")
+    book.report(one, LoadReport(6, 0, 8), 10.0)
+    book.report(two, LoadReport(2, 0, 8), 13.0)
+    assert book.mean_others([one, two], 13.0) == 2.0
+    assert book.load(one, 2.0, 13.0) == 2.0
+
+
+def test_answers_that_read_a_long_prompt_do_not_make_an_engine_slow():
+    """Found by a model: homes gave way though they were not loaded."""
+    view = EndpointView()
+    for number in range(20):
+        view.judge(2.0 if number % 2 else 0.5, False, number / 10)
+    assert view.burden(2.0) == 1.0
+
+
+def test_a_slow_endpoint_counts_as_loaded_and_is_forgiven_with_time():
+    view = EndpointView()
+    for number in range(20):
+        view.judge(6.0, False, number / 10)
+    assert view.burden(2.0) > 2.0
+    assert view.burden(20.0) == 1.0
+
+
+def test_an_endpoint_that_fails_calls_counts_as_loaded():
+    view = EndpointView()
+    for number in range(20):
+        view.judge(1.0, number % 2 == 0, number / 10)
+    assert 1.5 < view.burden(2.0) < 3.0
+
+
+def test_an_endpoint_that_says_nothing_is_silent():
+    view = EndpointView()
+    assert not view.silent(5.0)
+    view.pending[1] = 5.0
+    assert not view.silent(5.5)
+    assert view.silent(6.0)
+    view.heard_s = 5.9
+    assert not view.silent(6.0)
+
+
+def test_views_of_endpoints_that_are_gone_are_dropped():
+    book = LoadBook()
+    book.view(endpoint("a")).others = 5
+    book.keep(set())
+    assert book.view(endpoint("a")).others == 0
