Serve callers while zones are cut off

An endpoint is spared longer with each break, one call tries it again, a zone of which half cannot be reached goes last, and what reached no endpoint costs no repeat.

--- a/cranberrysail/router/endpoints.py
+++ b/cranberrysail/router/endpoints.py
@@ -1,6 +1,7 @@
 """Which endpoints exist and what each may be sent."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -16,8 +17,12 @@
 LAPSE_MEMORY_S = 4.0
 # A start is declared at once and read within about a second and a half.
 DECLARED_S = 2.6
-# An endpoint whose connection broke is spared this long if others can serve.
+# An endpoint whose connection broke is spared this long if others can serve, and
+# longer with each further break until it answers.
 AVOID_S = 1.0
+MOST_AVOID_S = 3.0
+# One call tries an endpoint that was spared; the others wait for how that ends.
+TRIAL_S = 0.5
 
 
 class EndpointState(StrEnum):
@@ -54,6 +59,7 @@
       unsure: True after a connection broke: it may have started anew and be cold.
       sure_s: When the doubt ends, if its answers go on without a declaration.
       avoid_until_s: Until when others are used first.
+      breaks: Connections that broke since its last answer.
       seen_s: When its newest declaration was read.
       open: Calls that this router has open there.
     """
@@ -65,6 +71,7 @@
     unsure: bool = False
     sure_s: float = math.inf
     avoid_until_s: float = 0.0
+    breaks: int = 0
     open: int = 0
 
     @property
@@ -221,9 +228,16 @@
             return
         if now >= endpoint.avoid_until_s:
             self.note(EndpointChange.AVOIDED, endpoint, why)
-        endpoint.avoid_until_s = now + AVOID_S
+        endpoint.breaks += 1
+        avoid_s = min(AVOID_S * endpoint.breaks, MOST_AVOID_S)
+        endpoint.avoid_until_s = now + avoid_s
         self._doubt(endpoint, why)
 
+    def chosen(self, endpoint: Endpoint, now: float) -> None:
+        """Let one call try an endpoint whose connections broke."""
+        if endpoint.breaks:
+            endpoint.avoid_until_s = max(endpoint.avoid_until_s, now + TRIAL_S)
+
     def _doubt(self, endpoint: Endpoint, why: str) -> None:
         new = not endpoint.unsure
         endpoint.unsure = True
@@ -243,6 +257,8 @@
           now: Current time in seconds.
           cold_s: How long endpoints of its service stay cold.
         """
+        endpoint.breaks = 0
+        endpoint.avoid_until_s = 0.0
         if endpoint.unsure and endpoint.sure_s == math.inf:
             endpoint.sure_s = now + max(DECLARED_S, cold_s)
 
@@ -251,6 +267,15 @@
         if self._endpoints.get(endpoint.name) is endpoint:
             self._drop(endpoint, "another endpoint has its address")
 
+    def doubtful_zones(self, now: float) -> set[str]:
+        """Return zones of which half of the endpoints, and two, cannot be reached."""
+        broken: Counter = Counter()
+        known: Counter = Counter()
+        for endpoint in self:
+            known[endpoint.record.zone] += 1
+            broken[endpoint.record.zone] += now < endpoint.avoid_until_s
+        return {z for z, n in broken.items() if n >= 2 and 2 * n >= known[z]}
+
     def usable(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that may take new work."""
         return [
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -54,7 +54,8 @@
     Attributes:
       until_s: When its time is over.
       ran: Attempts that ran or may have run.
-      not_run: Attempts that certainly did not run.
+      not_run: Attempts that an endpoint turned away.
+      arrived: Attempts that reached an endpoint, whether it ran them or not.
       tried: Endpoints that it was sent to.
       events: Events passed on so far, for a stream.
       begun: True once a part of an answer has gone to the caller.
@@ -71,6 +72,7 @@
     until_s: float
     ran: int = 0
     not_run: int = 0
+    arrived: int = 0
     tried: set[str] = field(default_factory=set)
     events: EventSplitter = field(default_factory=EventSplitter)
     begun: bool = False
@@ -272,7 +274,7 @@
             cold=endpoint.is_cold(now()),
             declared_age_s=round(now() - endpoint.seen_s, 2),
             tables=call.tables.version,
-            attempt=call.ran + call.not_run + 1,
+            attempt=len(call.tried) + 1,
         )
 
     def _log_done(self, call: Call, endpoint: Endpoint) -> None:
@@ -288,17 +290,13 @@
     def _go_on(self, call: Call, endpoint: Endpoint, attempt: Attempt) -> bool:
         """Decide what follows an attempt and return whether to send again."""
         call.tried.add(endpoint.name)
-        if attempt.result in (
-            AttemptResult.NOT_SENT,
-            AttemptResult.NOT_RUN,
-            AttemptResult.DISPLACED,
-        ):
+        if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.DISPLACED):
             call.not_run += 1
         counts = (call.route, attempt.result, call.ran, call.not_run)
         step = next_step(*counts, budget=True)
-        budget = step is not NextStep.SEND_AGAIN or self._budget.spend(
-            call.service, self._selector.fleet, now()
-        )
+        # What reached no endpoint is no load, so the next send is still the first.
+        free = step is not NextStep.SEND_AGAIN or not call.arrived
+        budget = free or self._budget.spend(call.service, self._selector.fleet, now())
         if not budget:
             step = next_step(*counts, budget=False)
         self._log.write(
@@ -354,7 +352,8 @@
         endpoint = choice.endpoint
         service = call.tables.services.get(call.service, Service(call.service))
         self._selector.cold.note(endpoint.name, now())
-        if call.ran == 0 and call.not_run == 0:
+        self._beliefs.endpoints.chosen(endpoint, now())
+        if not call.tried:
             self._budget.first(call.service, now())
         most = service.max_connections // self._selector.fleet
         self._calls += 1
@@ -461,6 +460,7 @@
         sent_s = now()
         conn.send(self._request_bytes(call, choice), is_ours)
         call.ran += 1
+        call.arrived += 1
         await conn.head()
         answer = self._dialect.answer_head(conn.status, conn.headers)
         conn.keep_s = answer.keep_s
--- a/cranberrysail/router/outcome.py
+++ b/cranberrysail/router/outcome.py
@@ -55,7 +55,7 @@
 CERTAINLY_NOT_RUN = frozenset(
     (AttemptResult.NOT_SENT, AttemptResult.NOT_RUN, AttemptResult.DISPLACED)
 )
-# Sends of one call that endpoints did not run; more would only hold it up.
+# Endpoints that may turn one call away; more would only hold it up.
 MOST_NOT_RUN = 3
 
 
@@ -68,7 +68,7 @@
       route: The call's route.
       result: How the attempt ended.
       ran: Attempts so far that ran or may have run.
-      not_run: Attempts so far that certainly did not run.
+      not_run: Attempts so far that an endpoint turned away.
       budget: Whether the repeat budget allows one more send.
     """
     if result in CERTAINLY_NOT_RUN:
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -180,6 +180,7 @@
 
     def _candidates(self, endpoints: list[Endpoint], now: float) -> list[Candidate]:
         others = self.loads.mean_others(endpoints, now)
+        doubtful = self.endpoints.doubtful_zones(now)
         found = []
         for endpoint in endpoints:
             view = self.loads.view(endpoint)
@@ -188,6 +189,7 @@
                 now < endpoint.avoid_until_s
                 or view.silent(now)
                 or endpoint.state is EndpointState.LAPSED
+                or (endpoint.record.zone in doubtful and not endpoint.breaks)
             )
             found.append(
                 Candidate(endpoint, load, max(1, endpoint.record.slots), spared)
--- a/tests/router/test_endpoints.py
+++ b/tests/router/test_endpoints.py
@@ -69,3 +69,34 @@
     made, endpoint = directory()
     made.displaced(endpoint, 1.0)
     assert made.usable("s") == []
+
+
+def test_an_endpoint_that_breaks_again_is_spared_longer_until_it_answers():
+    made, endpoint = directory()
+    times = []
+    for number in range(5):
+        made.broke(endpoint, 100.0 * number, "reset")
+        times.append(endpoint.avoid_until_s - 100.0 * number)
+    assert times == [1.0, 2.0, 3.0, 3.0, 3.0]
+    made.answered(endpoint, 600.0, COLD_S)
+    assert endpoint.avoid_until_s == 0.0
+
+
+def test_one_call_at_a_time_tries_an_endpoint_that_was_spared():
+    made, endpoint = directory()
+    made.broke(endpoint, 10.0, "reset")
+    made.chosen(endpoint, 11.5)
+    assert endpoint.avoid_until_s > 11.5
+
+
+def test_a_zone_of_which_half_cannot_be_reached_is_doubtful():
+    made = EndpointDirectory()
+    for number in range(4):
+        made.declare(record(f"e{number}", zone="b"), 0.0)
+    made.declare(record("other"), 0.0)
+    made.broke(made.get("e0"), 10.0, "reset")
+    made.broke(made.get("other"), 10.0, "reset")
+    assert made.doubtful_zones(10.0) == set()
+    made.broke(made.get("e1"), 10.0, "reset")
+    assert made.doubtful_zones(10.5) == {"b"}
+    assert made.doubtful_zones(12.0) == set()
--- a/tests/router/test_outcome.py
+++ b/tests/router/test_outcome.py
@@ -5,7 +5,12 @@
 import pytest
 
 from cranberrysail.router.model import CallKind, Route
-from cranberrysail.router.outcome import AttemptResult, NextStep, next_step
+from cranberrysail.router.outcome import (
+    MOST_NOT_RUN,
+    AttemptResult,
+    NextStep,
+    next_step,
+)
 
 NOT_RUN = (AttemptResult.NOT_SENT, AttemptResult.NOT_RUN, AttemptResult.DISPLACED)
 
@@ -52,8 +57,9 @@
 
 
 def test_a_booking_that_was_not_run_is_tried_elsewhere_a_few_times():
-    steps = [next_step(ONCE, AttemptResult.NOT_RUN, 0, n, True) for n in (1, 2, 3)]
-    assert steps == [NextStep.SEND_AGAIN] * 2 + [NextStep.REFUSE]
+    most = range(1, MOST_NOT_RUN + 1)
+    steps = [next_step(ONCE, AttemptResult.NOT_RUN, 0, n, True) for n in most]
+    assert steps == [NextStep.SEND_AGAIN] * (MOST_NOT_RUN - 1) + [NextStep.REFUSE]
 
 
 def test_a_failure_of_the_endpoint_is_passed_on_in_the_end():
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -354,3 +354,22 @@
         return [len(world.workers[f"e{n}"].heard) for n in range(4)]
 
     assert sorted(scene(main, engines=4)) == [0, 0, 0, 6]
+
+
+def test_callers_are_served_while_a_zone_is_cut_off():
+    """Found on the heaviest days: calls gave up after three engines of that zone."""
+
+    async def main(world):
+        for number in range(6):
+            worker = world.workers[f"e{number}"]
+            host, _, port = worker.address.partition(":")
+            del world.loop.servers[host, int(port)]
+        statuses = []
+        for number in range(80):
+            parts = f"aa:100,b{number % 16}:900,{number:x}:20"
+            data = request("/chat/1", f"a{number}", Cranberrysail_Prompt_Prefix=parts)
+            statuses.append((await world.ask(data)).status)
+        return statuses
+
+    statuses = scene(main, engines=8)
+    assert statuses.count(200) == 80
