--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -128,7 +128,7 @@
             "endpoints": len(self.endpoints),
             "routers": len(self.peers),
             "tables_version": self.beliefs.tables.version if self.ready else 0,
-            "connections_opened": self.exchange.pool.opened,
+            "connections_opened": self.exchange.attempts.pool.opened,
         }
         return 200, self.metrics.text(gauges).encode()
 
@@ -271,5 +271,5 @@
         """Close all connections."""
         for task in self._tasks:
             task.cancel()
-        self.exchange.pool.close()
+        self.exchange.attempts.pool.close()
         self.follower.sources.close()
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -322,7 +322,7 @@
     async def main(world):
         for number in range(10):
             await world.ask(request("/book/1", f"a{number}"))
-        return world.router.exchange.pool.opened
+        return world.router.exchange.attempts.pool.opened
 
     assert scene(main) <= 2
 
