--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -33,7 +33,9 @@
 # Running, waiting, slots.
 SERVER_LOAD = b"cranberrysail-server-load"
 RETRY_AFTER = b"retry-after"
+# Status of a worker that is not the one expected.
 MISDIRECTED = 421
+# Urgency goes from 0 to this.
 LEAST_URGENT = 9
 
 # A caller may not set these: they are the router's.
--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -25,8 +25,11 @@
 }
 # An answer takes a few milliseconds; the store may be tens of times slower.
 CALL_S = 1.5
+# The store is in the region; a few milliseconds are usual.
 CONNECT_S = 0.6
+# The most that the store gives with one call.
 READ_KB = 1024
+# End and first offset stand before the records, eight bytes each.
 OFFSETS_BYTES = 16
 
 
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -23,6 +23,7 @@
 
 __all__ = ["Call", "Exchange"]
 
+# Of the answers that are the router's own.
 CONTENT_TYPE = (b"content-type", b"application/json")
 
 
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -36,6 +36,7 @@
     Topic.ENDPOINTS: ENDPOINTS_WAIT_S,
     Topic.ROUTERS: ROUTERS_WAIT_S,
 }
+# Pause after a failed read, so that a store that comes back is not overrun.
 RETRY_S = 0.25
 # Large tables that follow each other are read together after a pause, so that a
 # burst of changes leaves room on the link for callers.
@@ -43,6 +44,7 @@
 AFTER_LARGE_S = 0.5
 # Time for the list of routers to be read before this one enters itself.
 ENTER_S = 0.25
+# Pause after a failed entry.
 ENTER_AGAIN_S = 1.0
 
 
@@ -312,7 +314,7 @@
         self._cfg = cfg
         self._store = store
         self._beliefs = beliefs
-        self.sources = RecordSources(store, beliefs.peers)
+        self.sources = RecordSources(store, beliefs.peers, beliefs.log)
         self.relay = RecordRelay()
         self.topics = [
             TopicFollower(self.sources, self.relay, topic, beliefs)
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -13,7 +13,9 @@
 
 __all__ = ["HttpClientConn", "connect"]
 
+# Bytes of an answer that wait for a slow caller before reading stops.
 HIGH_WATER_BYTES = 64 * 1024
+# Headers of an answer beyond this many are passed over.
 MAX_HEADERS = 128
 # A peer that acknowledges nothing for this long is taken as gone.
 UNACKED_MS = 1000
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -8,7 +8,9 @@
 
 __all__ = ["HttpStoreClient"]
 
+# Largest answer; a whole list of thousands of entries is a few megabytes.
 MOST_BYTES = 64 * 1024 * 1024
+# Status where records were dropped.
 GAP = 410
 
 
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -8,6 +8,7 @@
 
 __all__ = ["MemoryStore"]
 
+# A call to a silent store fails after this long.
 SILENT_S = 3.0
 
 
--- a/cranberrysail/router/metrics.py
+++ b/cranberrysail/router/metrics.py
@@ -6,8 +6,10 @@
 
 __all__ = ["RouterMetrics"]
 
+# Longest duration told apart, and significant digits, of a histogram.
 MAX_MS = 120_000
 DIGITS = 2
+# Shares of observations, in percent.
 QUANTILES = (50.0, 95.0, 99.0)
 
 
--- a/cranberrysail/router/model.py
+++ b/cranberrysail/router/model.py
@@ -13,6 +13,7 @@
     "Service",
 ]
 
+# Priority where operators name none.
 DEFAULT_PRIORITY = 5
 
 
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -28,6 +28,7 @@
 __all__ = ["Peer", "PeerBook", "PeerStore", "encode_peer", "peer_front"]
 
 PATH = "/records"
+# Peers asked first are in the same zone.
 CONNECT_S = 0.3
 # A peer that has news answers at once, and one without after the wait; both must
 # leave time to read the store within the two seconds for a leaving endpoint.
@@ -35,6 +36,7 @@
 ANSWER_S = 0.5
 # A peer whose own reading is older may miss what the store has.
 FRESH_S = 1.7
+# Smaller pages gain nothing by it.
 COMPRESSED_FROM_BYTES = 1024
 # First byte of compressed data; encoded records begin with another.
 ZLIB_MARK = b"\x78"
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -30,6 +30,7 @@
 
 __all__ = ["ServingRouter"]
 
+# How often connections, views and lapsed entries are looked at.
 TICK_S = 0.25
 # The balancer asks once a second and acts on the second miss.
 BALANCER_LEAVES_S = 2.6
--- a/cranberrysail/router/sources.py
+++ b/cranberrysail/router/sources.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from cranberrysail.router.clock import now
+from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.peers import Peer, PeerBook, PeerStore
 from cranberrysail.router.store import (
     BaseStore,
@@ -41,11 +42,13 @@
     Attributes:
       store: The store itself.
       book: The other routers.
+      log: Where peers that fail are noted.
       store_read_s: When the store itself last answered.
     """
 
     store: BaseStore
     book: PeerBook
+    log: DecisionLog
     store_read_s: float = float("-inf")
     _store_until_s: float = 0.0
     _asked_s: dict[Topic, float] = field(default_factory=dict)
@@ -81,7 +84,8 @@
             return await self._from_store(topic, start, wait_s)
         except StoreGapError:
             raise
-        except StoreError:
+        except StoreError as exc:
+            self.log.write("store_failed", topic=topic.value, why=str(exc))
             self._store_until_s = now() + STORE_AGAIN_S
             page = await self._from_others(topic, start, wait_s)
             if page is None:
@@ -126,7 +130,14 @@
         except StaleError:
             shunned.until_s = now() + STALE_S
             return None
-        except StoreError:
+        except StoreError as exc:
+            self.log.write(
+                "peer_left_alone",
+                peer=peer.name,
+                topic=topic.value,
+                why=str(exc),
+                seconds=shunned.next_s,
+            )
             shunned.until_s = now() + shunned.next_s
             shunned.next_s = min(shunned.next_s * 2, MOST_SHUN_S)
             return None
--- a/cranberrysail/webclient.py
+++ b/cranberrysail/webclient.py
@@ -10,6 +10,7 @@
 
 __all__ = ["WebAnswer", "WebClient"]
 
+# Largest answer.
 MOST_BYTES = 64 * 1024 * 1024
 PORTS = {"http": 80, "https": 443}
 # Servers keep idle connections for five seconds or more.
