Serve the product's own interface through the one callers' front

Two fronts did the same work: blacksheep and uvicorn for the product's own interface, CallerFront for the platform. Now CallerFront serves both, with TLS; Answer and deliver take the place of the framework's responses. Tests found, each failing first: answers to HEAD waited for a body that never comes and a caller found gone at a write was logged as an error of ours.

--- a/cranberrysail/front.py
+++ b/cranberrysail/front.py
@@ -2,30 +2,30 @@
 
 import asyncio
 import hashlib
+import ssl
 import uuid
-from collections.abc import Callable
 from dataclasses import dataclass
+from pathlib import Path
 
-from blacksheep import Application, Router
-from blacksheep.exceptions import MessageAborted
-from blacksheep.messages import Request, Response
 from expression import Error, Ok, Result
 
 from cranberrysail import caller
+from cranberrysail.answer import Answer, Headers, deliver, error_answer
 from cranberrysail.blackboard import Blackboard
-from cranberrysail.errors import NotRunError
+from cranberrysail.errors import CallError, NotRunError, OutcomeUnknownError
 from cranberrysail.events import CallArrived
-from cranberrysail.gateway import HOP_BY_HOP, Gateway
-from cranberrysail.responses import error_response
+from cranberrysail.gateway import Gateway
+from cranberrysail.router.callerconn import CallerConn, CallerLeftError, CallerRequest
+from cranberrysail.router.hopbyhop import end_to_end
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import RouteKind
 from cranberrysail.upstream import UpstreamRequest
 
-__all__ = ["Front"]
+__all__ = ["Front", "tls_context"]
 
+# Room for a million calls in each incarnation's block of numbers.
 CALL_ID_SHIFT = 20
-CLIENT_GONE = 499
-NOT_PASSED_ON = HOP_BY_HOP | {b"host", b"authorization", b"expect", b"x-request-id"}
+NOT_PASSED_ON = frozenset((b"host", b"authorization", b"x-request-id"))
 
 
 @dataclass(frozen=True)
@@ -40,7 +40,7 @@
     def __init__(
         self, board: Blackboard, limits: LimitSettings, gateway: Gateway
     ) -> None:
-        """Create the listener's application.
+        """Create a front.
 
         Args:
           board: State of the router, for its tables.
@@ -51,53 +51,62 @@
         self._limits = limits
         self._gateway = gateway
         self._next_call = board.incarnation << CALL_ID_SHIFT
-        self._watchers: set[asyncio.Task] = set()
-        self.app = Application(router=Router())
-        self.app.router.fallback = self.serve
 
-    async def serve(self, request: Request) -> Response:
+    async def serve(self, request: CallerRequest, conn: CallerConn) -> None:
         """Answer a caller's request."""
         request_id = uuid.uuid4().hex
-        try:
-            body = await self._read_body(request)
-        except MessageAborted:
-            return Response(400)
-        prepared = body.bind(lambda data: self._prepare(request, data, request_id))
+        prepared = self._prepare(request, request_id)
         if prepared.is_error():
-            self._board.counters[f"front.{prepared.error.code}"] += 1
-            response = error_response(prepared.error)
-        else:
-            response = await self._run(request, prepared.ok)
-        response.add_header(b"x-request-id", request_id.encode())
-        return response
-
-    async def _read_body(self, request: Request) -> Result[bytes, NotRunError]:
-        headers = sum(len(n) + len(v) for n, v in request.headers)
-        if headers > self._limits.header_bytes:
-            message = f"send at most {self._limits.header_bytes} bytes of headers"
-            return Error(NotRunError("headers_too_large", message, 431))
-        limit = self._limits.body_bytes
-        too_large = NotRunError("body_too_large", f"send at most {limit} bytes", 413)
-        declared = request.get_first_header(b"content-length") or b"0"
-        if declared.isdigit() and int(declared) > limit:
-            return Error(too_large)
-        body = bytearray()
-        async for part in request.content.stream():
-            body += part
-            if len(body) > limit:
-                return Error(too_large)
-        return Ok(bytes(body))
+            await deliver(self._refusal(prepared.error, request_id), conn)
+            return
+        call = prepared.ok.arrived
+        try:
+            answer = await self._gateway.run(call, prepared.ok.request)
+            answer.headers.append((b"x-request-id", request_id.encode()))
+            await deliver(answer, conn)
+        except CallerLeftError:
+            self._gateway.cancel(call.call)
+        except asyncio.CancelledError:
+            self._gateway.cancel(call.call)
+            raise
+
+    def refuse(self, status: int, reason: str) -> tuple[Headers, bytes]:
+        """Return headers and body for a request that is not valid.
+
+        Args:
+          status: Status of the answer.
+          reason: Code of the error.
+        """
+        answer = self._refusal(self._error(status, reason), uuid.uuid4().hex)
+        return answer.headers, answer.body
+
+    def _error(self, status: int, reason: str) -> CallError:
+        limits = self._limits
+        if reason == "internal_error":
+            message = "the router failed; look for the call before you repeat it"
+            return OutcomeUnknownError(reason, message, status)
+        remedies = {
+            "headers_too_large": f"send at most {limits.header_bytes} bytes of headers",
+            "body_too_large": f"send at most {limits.body_bytes} bytes",
+            "request_timeout": f"send the request within {limits.request_s} s",
+        }
+        message = remedies.get(reason, "send a valid HTTP/1.1 request")
+        return NotRunError(reason, message, status)
+
+    def _refusal(self, error: CallError, request_id: str) -> Answer:
+        self._board.counters[f"front.{error.code}"] += 1
+        answer = error_answer(error)
+        answer.headers.append((b"x-request-id", request_id.encode()))
+        return answer
 
     def _prepare(
-        self, request: Request, body: bytes, request_id: str
+        self, request: CallerRequest, request_id: str
     ) -> Result[_Prepared, NotRunError]:
         state = self._board.tables
-        path = request.url.path.decode("latin-1")
-        header = _header(request, b"authorization")
-        customer = caller.authenticate(state, header)
+        customer = caller.authenticate(state, _header(request, b"authorization"))
         if customer.is_error():
             return Error(customer.error)
-        found = self._find(request.method, path, body)
+        found = self._find(request)
         if found.is_error():
             return Error(found.error)
         name, route, chat_body = found.ok
@@ -111,8 +120,6 @@
         if chat.is_error():
             return Error(chat.error)
         self._next_call += 1
-        query = request.url.query
-        target = path + ("?" + query.decode("latin-1") if query else "")
         arrived = CallArrived(
             self._next_call,
             request_id,
@@ -121,19 +128,20 @@
             customer.ok,
             chat.ok,
             f"{customer.ok}/{name}/{key.ok.value}" if key.ok else "",
-            _digest(request.method, target, body) if key.ok else "",
+            _digest(request) if key.ok else "",
             key.ok.issued_s if key.ok else 0.0,
         )
-        headers = self._upstream_headers(request, arrived)
-        upstream = UpstreamRequest(request.method, target, headers, body)
+        target = request.target.decode("latin-1")
+        headers = _upstream_headers(request, arrived)
+        upstream = UpstreamRequest(request.method, target, headers, request.body)
         return Ok(_Prepared(arrived, upstream))
 
-    def _find(self, method: str, path: str, body: bytes):
-        state = self._board.tables
+    def _find(self, request: CallerRequest):
+        state, body = self._board.tables, request.body
         chats = any(r.kind is RouteKind.CHAT for r in state.routes.values())
         parsed = caller.parse_chat(body) if body and chats else None
         model = parsed.ok.model if parsed is not None and parsed.is_ok() else ""
-        found = caller.find_route(state, method, path, model)
+        found = caller.find_route(state, request.method, request.path, model)
         if found.is_error():
             return found
         route = found.ok.route
@@ -144,46 +152,42 @@
             return parsed
         return Ok((found.ok.name, route, parsed.ok))
 
-    def _upstream_headers(
-        self, request: Request, arrived: CallArrived
-    ) -> tuple[tuple[bytes, bytes], ...]:
-        named = request.get_first_header(b"connection") or b""
-        listed = {token.strip().lower() for token in named.split(b",")}
-        kept = [
-            (name.lower(), value)
-            for name, value in request.headers
-            if name.lower() not in NOT_PASSED_ON and name.lower() not in listed
-        ]
-        kept.append((b"x-request-id", arrived.request_id.encode()))
-        kept.append((b"x-customer", arrived.customer.encode()))
-        kept.append((b"x-priority", str(arrived.route.priority).encode()))
-        return tuple(kept)
-
-    async def _run(self, request: Request, prepared: _Prepared) -> Response:
-        call = prepared.arrived.call
-        watcher = asyncio.ensure_future(self._watch(request.content.receive, call))
-        self._watchers.add(watcher)
-        watcher.add_done_callback(self._watchers.discard)
-        try:
-            return await self._gateway.run(prepared.arrived, prepared.request)
-        except asyncio.CancelledError:
-            self._gateway.cancel(call)
-            return Response(CLIENT_GONE)
 
-    async def _watch(self, receive: Callable, call: int) -> None:
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                self._gateway.cancel(call)
-                return
+def tls_context(cert: Path | None, key: Path | None) -> ssl.SSLContext | None:
+    """Return the context of a listener, or None for plain TCP.
+
+    Args:
+      cert: Certificate chain file, or None.
+      key: Private key file, or None.
+
+    Raises:
+      OSError: If a file cannot be read or is not valid.
+    """
+    if cert is None or key is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(cert, key)
+    context.set_alpn_protocols(["http/1.1"])
+    return context
+
+
+def _upstream_headers(
+    request: CallerRequest, arrived: CallArrived
+) -> tuple[tuple[bytes, bytes], ...]:
+    passed = end_to_end(request.headers)
+    kept = [item for item in passed if item[0] not in NOT_PASSED_ON]
+    kept.append((b"x-request-id", arrived.request_id.encode()))
+    kept.append((b"x-customer", arrived.customer.encode()))
+    kept.append((b"x-priority", str(arrived.route.priority).encode()))
+    return tuple(kept)
 
 
-def _header(request: Request, name: bytes) -> str | None:
-    value = request.get_first_header(name)
-    return value.decode("latin-1") if value is not None else None
+def _header(request: CallerRequest, name: bytes) -> str | None:
+    found = [value for key, value in request.headers if key == name]
+    return found[0].decode("latin-1") if found else None
 
 
-def _digest(method: str, target: str, body: bytes) -> str:
-    hashed = hashlib.sha256(f"{method} {target}\n".encode())
-    hashed.update(body)
+def _digest(request: CallerRequest) -> str:
+    hashed = hashlib.sha256(f"{request.method} ".encode() + request.target + b"\n")
+    hashed.update(request.body)
     return hashed.hexdigest()
--- a/cranberrysail/gateway.py
+++ b/cranberrysail/gateway.py
@@ -4,11 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from blacksheep.contents import Content
-from blacksheep.messages import Response
-
 from cranberrysail import logs
 from cranberrysail.actions import AnswerRecorded, Dispatch, FailCall
+from cranberrysail.answer import Answer, Headers, error_answer
 from cranberrysail.clock import Clock
 from cranberrysail.errors import UpstreamError
 from cranberrysail.events import (
@@ -20,8 +18,8 @@
 )
 from cranberrysail.invariants import Invariant, Invariants
 from cranberrysail.metrics import Metrics
-from cranberrysail.relay import EventRelay, PlainRelay, RelayContent
-from cranberrysail.responses import error_response
+from cranberrysail.relay import EventRelay, PlainRelay
+from cranberrysail.router.hopbyhop import end_to_end
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import Idempotency, RouteKind
 from cranberrysail.upstream import UpstreamCall, UpstreamRequest, open_call
@@ -32,20 +30,7 @@
 RESUME_HEADER = b"last-event-id"
 RECORD_LIMIT_BYTES = 16 * 1024 * 1024
 RESUME_PAUSE_S = 0.2
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-NOT_PASSED_BACK = HOP_BY_HOP | {b"content-type", b"date", b"x-request-id"}
+NOT_PASSED_BACK = frozenset((b"date", b"x-request-id"))
 
 
 @dataclass
@@ -53,14 +38,14 @@
     """A call with its caller's connection.
 
     Attributes:
-      response: Set once the answer to the caller is known.
+      answer: Set once the answer to the caller is known.
       upstream: The open call at an endpoint, if any.
     """
 
     arrived: CallArrived
     request: UpstreamRequest
     arrived_s: float
-    response: asyncio.Future[Response] = field(
+    answer: asyncio.Future[Answer] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
     upstream: UpstreamCall | None = None
@@ -99,7 +84,7 @@
         self._live: dict[int, LiveCall] = {}
         self._log = logs.part("calls")
 
-    async def run(self, arrived: CallArrived, request: UpstreamRequest) -> Response:
+    async def run(self, arrived: CallArrived, request: UpstreamRequest) -> Answer:
         """Take a call to its answer.
 
         Args:
@@ -109,7 +94,7 @@
         live = LiveCall(arrived, request, self._clock.now())
         self._live[arrived.call] = live
         self._handle(arrived)
-        return await live.response
+        return await live.answer
 
     def cancel(self, call: int) -> None:
         """Cancel a call whose caller left."""
@@ -117,8 +102,8 @@
         if live is None or live.gone:
             return
         live.gone = True
-        if not live.response.done():
-            live.response.cancel()
+        if not live.answer.done():
+            live.answer.cancel()
         if not live.dispatched:
             self._live.pop(call, None)
             self._handle(CallCancelled(call))
@@ -143,21 +128,20 @@
         live = self._live.get(action.call)
         if live is not None:
             self._log.info("Refused {}: {}.", live.arrived.request_id, error.code)
-        self._answer(action.call, error_response(error))
+        self._answer(action.call, error_answer(error))
 
     def answer_recorded(self, action: AnswerRecorded) -> None:
         """Give a caller the recorded answer of an earlier call."""
-        headers = [(n.encode(), v.encode()) for n, v in action.headers]
-        content_type = next((v for n, v in headers if n == b"content-type"), b"")
-        others = [item for item in headers if item[0] != b"content-type"]
-        others.append((b"x-idempotent-replay", b"true"))
-        content = Content(content_type, action.body) if action.body else None
-        self._answer(action.call, Response(action.status, others, content))
-
-    def _answer(self, call: int, response: Response) -> None:
+        headers = [
+            (n.encode("latin-1"), v.encode("latin-1")) for n, v in action.headers
+        ]
+        headers.append((b"x-idempotent-replay", b"true"))
+        self._answer(action.call, Answer(action.status, headers, action.body))
+
+    def _answer(self, call: int, answer: Answer) -> None:
         live = self._live.pop(call, None)
-        if live is not None and not live.response.done():
-            live.response.set_result(response)
+        if live is not None and not live.answer.done():
+            live.answer.set_result(answer)
 
     async def _attempt(self, live: LiveCall, action: Dispatch) -> None:
         try:
@@ -216,17 +200,13 @@
         async with asyncio.timeout(self._limits.idle_s):
             body = await call.read_all(RECORD_LIMIT_BYTES)
         live.first_s = self._clock.now() - sent_s
-        headers = _passed_on(call)
-        content_type = call.header(b"content-type") or b"application/octet-stream"
+        headers = _passed_back(call)
         recorded = tuple((n.decode("latin-1"), v.decode("latin-1")) for n, v in headers)
-        recorded += (("content-type", content_type.decode("latin-1")),)
-        content = Content(content_type, body) if body else None
-        response = Response(call.status, headers, content)
+        answer = Answer(call.status, headers, body)
         self._close(live)
-        live_response = live.response
         self._end(live, CallResult.OK, status=call.status, headers=recorded, body=body)
-        if not live_response.done():
-            live_response.set_result(response)
+        if not live.answer.done():
+            live.answer.set_result(answer)
 
     def _stream(self, live: LiveCall, action: Dispatch, sent_s: float) -> None:
         call = live.upstream
@@ -245,13 +225,10 @@
             relay = PlainRelay(call, self._limits.idle_s, finish)
         relay.first_byte = self._first_byte(live, sent_s)
         live.relay = relay
-        response = Response(
-            call.status, _passed_on(call), RelayContent(content_type, relay)
-        )
-        if live.response.done():
+        if live.answer.done():
             relay.finish(False)
             return
-        live.response.set_result(response)
+        live.answer.set_result(Answer(call.status, _passed_back(call), relay=relay))
 
     def _first_byte(self, live: LiveCall, sent_s: float) -> Callable[[], None]:
         def note() -> None:
@@ -305,14 +282,9 @@
         return len(self._live)
 
 
-def _passed_on(call: UpstreamCall) -> list[tuple[bytes, bytes]]:
-    named = next((v for n, v in call.headers if n == b"connection"), b"")
-    listed = {token.strip().lower() for token in named.split(b",")}
-    return [
-        (name, value)
-        for name, value in call.headers
-        if name not in NOT_PASSED_BACK and name not in listed
-    ]
+def _passed_back(call: UpstreamCall) -> Headers:
+    passed = end_to_end(call.headers)
+    return [item for item in passed if item[0] not in NOT_PASSED_BACK]
 
 
 def _result_of(exc: UpstreamError) -> CallResult:
--- a/cranberrysail/operatorapi.py
+++ b/cranberrysail/operatorapi.py
@@ -5,13 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from blacksheep import Application, Router
-from blacksheep.messages import Request, Response
-
+from cranberrysail.answer import Answer, Headers, deliver, json_answer, text_answer
 from cranberrysail.explain import explain_call
 from cranberrysail.metrics import Metrics
 from cranberrysail.node import Node
-from cranberrysail.responses import json_response, text_response
+from cranberrysail.router.callerconn import CallerConn, CallerRequest
 from cranberrysail.settings import OperatorSettings
 from cranberrysail.tablestate import encode_record, take_snapshot
 
@@ -31,7 +29,7 @@
         extra: Callable[[], dict[str, Any]],
         counters: Callable[[], dict[str, int]],
     ) -> None:
-        """Create the listener's application.
+        """Create the pages.
 
         Args:
           cfg: Settings of the listener.
@@ -45,8 +43,6 @@
         self._metrics = metrics
         self._extra = extra
         self._counters = counters
-        self.app = Application(router=Router())
-        self.app.router.fallback = self.serve
         self._pages = {
             "/health": self._health,
             "/ready": self._ready,
@@ -55,66 +51,78 @@
             "/tables": self._tables,
         }
 
-    async def serve(self, request: Request) -> Response:
+    async def serve(self, request: CallerRequest, conn: CallerConn) -> None:
         """Answer a request."""
-        path = request.url.path.decode("latin-1")
+        await deliver(self._answer(request), conn)
+
+    def refuse(self, status: int, reason: str) -> tuple[Headers, bytes]:
+        """Return headers and body for a request that is not valid.
+
+        Args:
+          status: Status of the answer.
+          reason: Code of the error.
+        """
+        answer = text_answer(f"{reason}\n", status)
+        return answer.headers, answer.body
+
+    def _answer(self, request: CallerRequest) -> Answer:
+        path = request.path
         if path not in ("/health", "/ready") and not self._allowed(request):
-            return text_response("Send the operator's token as a bearer token.\n", 401)
+            return text_answer("Send the operator's token as a bearer token.\n", 401)
         if request.method != "GET":
-            return text_response("Use GET.\n", 405)
+            return text_answer("Use GET.\n", 405)
         if path.startswith("/explain/"):
             return self._explain(path.removeprefix("/explain/"))
         page = self._pages.get(path)
         if page is None:
             names = ", ".join([*self._pages, "/explain/REQUEST-ID"])
-            return text_response(f"Use one of {names}.\n", 404)
+            return text_answer(f"Use one of {names}.\n", 404)
         return page()
 
-    def _allowed(self, request: Request) -> bool:
+    def _allowed(self, request: CallerRequest) -> bool:
         wanted = self._cfg.token_sha256
         if wanted is None:
             return True
-        header = request.get_first_header(b"authorization") or b""
+        header = request.header(b"authorization")
         token = header.removeprefix(b"Bearer ")
         return hmac.compare_digest(hashlib.sha256(token).hexdigest(), wanted)
 
-    def _health(self) -> Response:
-        return text_response("ok\n")
+    def _health(self) -> Answer:
+        return text_answer("ok\n")
 
-    def _ready(self) -> Response:
+    def _ready(self) -> Answer:
         board = self._node.board
         if board.draining:
-            return text_response("draining\n", 503)
+            return text_answer("draining\n", 503)
         if not board.tables.routes:
-            return text_response("no tables so far\n", 503)
+            return text_answer("no tables so far\n", 503)
         if not board.hosts:
-            return text_response("no list of hosts so far\n", 503)
+            return text_answer("no list of hosts so far\n", 503)
         if not board.joined:
-            return text_response("does not know the other routers so far\n", 503)
-        return text_response("ready\n")
+            return text_answer("does not know the other routers so far\n", 503)
+        return text_answer("ready\n")
 
-    def _dump(self) -> Response:
+    def _dump(self) -> Answer:
         state = self._node.dump()
         state["process"] = self._extra()
         state["durations"] = self._metrics.summary()
-        return json_response(state)
+        return json_answer(state)
 
-    def _text(self) -> Response:
-        return text_response(self._metrics.text(self._counters()))
+    def _text(self) -> Answer:
+        return text_answer(self._metrics.text(self._counters()))
 
-    def _tables(self) -> Response:
+    def _tables(self) -> Answer:
         snapshot = take_snapshot(self._node.board.tables, "operator")
-        response = text_response("")
-        response.content.body = encode_record(snapshot)
-        response.content.length = len(response.content.body)
-        return response
+        answer = text_answer("")
+        answer.body = encode_record(snapshot)
+        return answer
 
-    def _explain(self, request_id: str) -> Response:
+    def _explain(self, request_id: str) -> Answer:
         record = self._node.board.decisions.find(request_id[:MAX_ID])
         if record is None:
-            return text_response(
+            return text_answer(
                 "This router no longer knows the request; ask the router that "
                 "took it.\n",
                 404,
             )
-        return text_response("\n".join(explain_call(record)) + "\n")
+        return text_answer("\n".join(explain_call(record)) + "\n")
--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -7,6 +7,7 @@
     Headers,
     SendTerms,
 )
+from cranberrysail.router.hopbyhop import end_to_end
 from cranberrysail.router.load import LoadReport
 
 __all__ = ["PlatformDialect"]
@@ -58,20 +59,6 @@
 KEPT = frozenset(
     (ATTEMPT_ID, TOKEN_USAGE, PROMPT_PREFIX, MODEL, LAST_EVENT_ID, b"host")
 )
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 
 
 class PlatformDialect(BaseDialect):
@@ -81,28 +68,20 @@
         """Return what a client's headers say."""
         named = dict(headers)
         deadline = named.get(DEADLINE_MS, b"").strip()
-        prompt, output = _numbers(named.get(TOKEN_USAGE, b""), 2)
         return CallHead(
             attempt_id=named.get(ATTEMPT_ID, b"").strip().decode("latin-1"),
             key=named.get(CREDENTIAL, b"").strip().decode("latin-1"),
             deadline_s=int(deadline) / 1000 if deadline.isdigit() else None,
             parts=_parts(named.get(PROMPT_PREFIX, b"")),
-            prompt_tokens=prompt,
-            output_tokens=output,
         )
 
     def endpoint_headers(self, headers: Headers, terms: SendTerms) -> Headers:
         """Return the headers that go to a worker."""
-        named = next((v for n, v in headers if n == b"connection"), b"")
-        listed = {token.strip().lower() for token in named.split(b",")} - KEPT
         resumed = bool(terms.resume_after)
         kept = [
             (name, value)
-            for name, value in headers
-            if name not in OURS
-            and name not in HOP_BY_HOP
-            and name not in listed
-            and not (resumed and name == LAST_EVENT_ID)
+            for name, value in end_to_end(headers, KEPT)
+            if name not in OURS and not (resumed and name == LAST_EVENT_ID)
         ]
         kept.append((DEADLINE_MS, b"%d" % max(1, int(terms.left_s * 1000))))
         kept.append((EXPECTED_INSTANCE, terms.instance.encode()))
--- a/cranberrysail/process.py
+++ b/cranberrysail/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import ssl
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -34,9 +35,8 @@
     StreamRead,
     Tick,
 )
-from cranberrysail.front import Front
+from cranberrysail.front import Front, tls_context
 from cranberrysail.gateway import Gateway
-from cranberrysail.httpserver import HttpServer
 from cranberrysail.messages import Message
 from cranberrysail.metrics import Metrics
 from cranberrysail.node import Node
@@ -44,6 +44,9 @@
 from cranberrysail.peers import PeerTransport
 from cranberrysail.platformlog import HostList, HttpLog
 from cranberrysail.probe import probe_endpoint
+from cranberrysail.router.callerconn import CallerFront
+from cranberrysail.router.clock import now
+from cranberrysail.router.model import CallerLimits
 from cranberrysail.settings import Settings
 
 __all__ = ["RouterProcess"]
@@ -52,6 +55,8 @@
 HOSTS_EVERY_S = 1.0
 IDLE_LINKS_S = 30.0
 PROBE_TIMEOUT_S = 1.0
+# Time for answers that are not out when the router has stopped.
+LAST_ANSWERS_S = 2.0
 
 
 class RouterProcess:
@@ -71,7 +76,7 @@
         self.stopped = asyncio.Event()
         self._log = logs.part("main")
         self._tasks: set[asyncio.Task] = set()
-        self._servers: list[HttpServer] = []
+        self._fronts: list[CallerFront] = []
         self._peers = PeerTransport(cfg.name, cfg.peers.keys, self._receive)
         self._platform_log = HttpLog(cfg.platform.log_url, cfg.platform.timeout_s)
         self._hosts = HostList(cfg.platform.hosts_url, cfg.platform.timeout_s)
@@ -123,20 +128,32 @@
         )
 
     async def _listen(self) -> None:
-        front = Front(self.node.board, self.cfg.limits, self.gateway)
+        callers = Front(self.node.board, self.cfg.limits, self.gateway)
         operators = OperatorApi(
             self.cfg.operators, self.node, self.metrics, self._state, self._counters
         )
         cfg = self.cfg.callers
-        callers_server = HttpServer(
-            front.app, cfg.address, cfg.port, cfg.tls_cert, cfg.tls_key
-        )
-        operators_server = HttpServer(
-            operators.app, self.cfg.operators.address, self.cfg.operators.port
+        tls = tls_context(cfg.tls_cert, cfg.tls_key)
+        self.caller_port = await self._open_front(callers, cfg.address, cfg.port, tls)
+        cfg = self.cfg.operators
+        self.operator_port = await self._open_front(operators, cfg.address, cfg.port)
+
+    async def _open_front(
+        self,
+        pages: Front | OperatorApi,
+        address: str,
+        port: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> int:
+        limits = self.cfg.limits
+        front = CallerFront(pages.serve, pages.refuse, self._failed)
+        front.limits = CallerLimits(
+            limits.header_bytes, limits.body_bytes, limits.request_s, limits.keep_s
         )
-        self._servers = [callers_server, operators_server]
-        self.caller_port = await callers_server.start()
-        self.operator_port = await operators_server.start()
+        self._fronts.append(front)
+        port = await front.start(address, port, tls)
+        self._spawn(front.sweep())
+        return port
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
@@ -146,7 +163,10 @@
     def _done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._log.opt(exception=task.exception()).error("A task failed.")
+            self._failed(task.exception())
+
+    def _failed(self, exc: BaseException) -> None:
+        self._log.opt(exception=exc).error("A task failed.")
 
     def handle(self, event: Event) -> None:
         """Pass an event to the node and carry out its actions."""
@@ -236,6 +256,8 @@
     def request_stop(self) -> None:
         """Begin the planned stop."""
         self._log.info("A stop is requested; open calls are finished first.")
+        for front in self._fronts:
+            front.draining = True
         self.handle(StopRequested())
 
     async def run(self) -> None:
@@ -244,10 +266,11 @@
         await self.close()
 
     async def close(self) -> None:
-        """Close all sockets at once."""
+        """Close all sockets; answers under way get a last moment."""
+        end_s = now() + LAST_ANSWERS_S
+        await asyncio.gather(*(front.finish(end_s) for front in self._fronts))
         for task in list(self._tasks):
             task.cancel()
-        await asyncio.gather(*(server.stop() for server in self._servers))
         await self._peers.close()
         await self._platform_log.close()
         await self._hosts.close()
--- a/cranberrysail/relay.py
+++ b/cranberrysail/relay.py
@@ -3,13 +3,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from blacksheep.contents import StreamedContent
-
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.sse import EVENT_END, last_event_id
 from cranberrysail.upstream import UpstreamCall
 
-__all__ = ["DONE_EVENT", "EventRelay", "PlainRelay", "RelayContent"]
+__all__ = ["DONE_EVENT", "EventRelay", "PlainRelay"]
 
 DONE_EVENT = b"data: [DONE]\n\n"
 ERROR_EVENT = (
@@ -24,28 +22,6 @@
 Finish = Callable[[bool], None]
 
 
-async def _no_parts():
-    yield b""
-
-
-class RelayContent(StreamedContent):
-    """Response content that takes its parts from a relay."""
-
-    def __init__(self, content_type: bytes, relay: "PlainRelay") -> None:
-        """Create the content.
-
-        Args:
-          content_type: Value of the header.
-          relay: Where the parts come from.
-        """
-        super().__init__(content_type, _no_parts)
-        self._relay = relay
-
-    def get_parts(self) -> "PlainRelay":
-        """Return the parts as an asynchronous iterator."""
-        return self._relay
-
-
 class PlainRelay:
     """Passes a response on as it comes; a break ends it with an exception.
 
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -9,6 +9,7 @@
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.dialect import BaseDialect, Headers, SendTerms
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory
+from cranberrysail.router.hopbyhop import HOP_BY_HOP
 from cranberrysail.router.httpclient import HttpClientConn
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.model import CallKind
@@ -22,19 +23,6 @@
 HELD_BYTES = 256 * 1024
 # An answer must come this much before the call's time is over to be of use.
 REPLY_MARGIN_S = 0.02
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 
 
 class AttemptRunner:
@@ -183,7 +171,8 @@
             return answered in ("", wanted)
 
         sent_s = now()
-        conn.send(self._request_bytes(call, choice), is_ours)
+        bodiless = call.request.method == "HEAD"
+        conn.send(self._request_bytes(call, choice), is_ours, bodiless)
         call.ran += 1
         call.arrived += 1
         await conn.head()
--- a/cranberrysail/router/callerconn.py
+++ b/cranberrysail/router/callerconn.py
@@ -17,6 +17,7 @@
     400: b"Bad Request",
     401: b"Unauthorized",
     404: b"Not Found",
+    405: b"Method Not Allowed",
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
@@ -32,6 +33,10 @@
 LINGER_S = 1.0
 # How often connections are looked at for timeouts.
 SWEEP_S = 0.5
+# How often a stopping front looks whether its last answer is out.
+FINISH_POLL_S = 0.05
+# Answers with these statuses have no body (RFC 9110, section 6.4.1).
+BODILESS = frozenset((204, 304))
 
 
 class CallerLeftError(Exception):
@@ -101,11 +106,23 @@
         self.conns: set[CallerConn] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> int:
-        """Listen and return the port."""
+    async def start(self, host: str, port: int, tls: object = None) -> int:
+        """Listen and return the port.
+
+        Args:
+          host: IP number to bind.
+          port: Port to bind, or 0 for any.
+          tls: TLS context, or None for plain TCP.
+
+        Raises:
+          OSError: If the port cannot be bound.
+        """
         loop = asyncio.get_running_loop()
+        secured = {}
+        if tls is not None:
+            secured = {"ssl": tls, "ssl_handshake_timeout": self.limits.header_s}
         self._server = await loop.create_server(
-            lambda: CallerConn(self), host, port, backlog=1024
+            lambda: CallerConn(self), host, port, backlog=1024, **secured
         )
         return self._server.sockets[0].getsockname()[1]
 
@@ -114,6 +131,21 @@
         if self._server is not None:
             self._server.close()
 
+    async def finish(self, until_s: float) -> None:
+        """Take no new connections, wait for the open ones and break off the rest.
+
+        Args:
+          until_s: When to stop waiting, on the router's clock.
+        """
+        self.stop_listening()
+        self.closing_idle = True
+        for conn in list(self.conns):
+            conn.check_time()
+        while self.conns and now() < until_s:
+            await asyncio.sleep(FINISH_POLL_S)
+        for conn in list(self.conns):
+            conn.break_off()
+
     @property
     def busy(self) -> int:
         """Return the number of connections with a request under way."""
@@ -152,6 +184,7 @@
         self._answered = False
         self._since_s = now()
         self._chunked = True
+        self._no_body = False
         self.last_answer = False
 
     @property
@@ -265,6 +298,7 @@
         self._transport.resume_reading()
         self._answered = False
         self.last_answer = request.last
+        self._no_body = request.method == "HEAD"
         self._task = asyncio.ensure_future(self._front.handler(request, self))
         self._task.add_done_callback(self._done)
 
@@ -302,7 +336,8 @@
         self._closing = True
         if self._transport.is_closing():
             return
-        self._transport.write_eof()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
     def check_time(self) -> None:
@@ -343,15 +378,19 @@
         if self._transport.is_closing():
             return
         head = self._head(status, headers)
-        head += b"content-length: %d\r\n\r\n" % len(body)
-        self._transport.write(bytes(head) + body)
+        if status not in BODILESS and (body or not self._no_body):
+            head += b"content-length: %d\r\n" % len(body)
+        if self._no_body or status in BODILESS:
+            body = b""
+        self._transport.write(bytes(head) + b"\r\n" + body)
 
     def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of an answer whose length is not known."""
-        if not self._chunked:
+        self._no_body = self._no_body or status in BODILESS
+        if not self._chunked and not self._no_body:
             self.last_answer = True
         head = self._head(status, headers)
-        if self._chunked:
+        if self._chunked and not self._no_body:
             head += b"transfer-encoding: chunked\r\n"
         self._transport.write(bytes(head) + b"\r\n")
 
@@ -363,6 +402,8 @@
         """
         if self._transport.is_closing():
             raise CallerLeftError
+        if self._no_body or not data:
+            return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._transport.write(data)
@@ -371,7 +412,8 @@
 
     def finish(self) -> None:
         """Send the end of the body."""
-        if self._chunked and not self._transport.is_closing():
+        ended = self._no_body or self._transport.is_closing()
+        if self._chunked and not ended:
             self._transport.write(b"0\r\n\r\n")
 
     def break_off(self) -> None:
--- a/cranberrysail/router/dialect.py
+++ b/cranberrysail/router/dialect.py
@@ -19,16 +19,12 @@
       key: The caller's key, or nothing.
       deadline_s: Time that the caller waits, or None if it does not say.
       parts: Ids of the prompt's parts.
-      prompt_tokens: Tokens of the prompt.
-      output_tokens: Most tokens of the answer.
     """
 
     attempt_id: str
     key: str
     deadline_s: float | None
     parts: tuple[str, ...] = ()
-    prompt_tokens: int = 0
-    output_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -51,7 +51,6 @@
       headers: Headers of the answer, names in lower case.
       complete: True once the whole answer came.
       reusable: False once the connection must not take another request.
-      used: Number of requests sent.
       idle_since_s: When the last answer was complete.
       keep_s: How long it may stay idle.
     """
@@ -70,11 +69,11 @@
         self._framed = True
         self._pending: list[tuple[bytes, bytes]] = []
         self._match: Match | None = None
+        self._bodiless = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.complete = False
         self.reusable = True
-        self.used = 0
         self.idle_since_s = now()
         self.keep_s = 0.0
 
@@ -124,12 +123,17 @@
         names = {name for name, _ in headers}
         self.status, self.headers = status, headers
         self._framed = bool(names & {b"content-length", b"transfer-encoding"})
-        self._framed = self._framed or status in (204, 304)
+        self._framed = self._framed or self._bodiless or status in (204, 304)
+        if self._bodiless:
+            self._finish()
         self._wake()
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body."""
-        if self._skipping or self.complete:
+        if self._skipping:
+            return
+        if self.complete:
+            self.reusable = False
             return
         self._chunks.append(body)
         self._buffered += len(body)
@@ -189,12 +193,15 @@
         """Return how long ago the last answer was complete."""
         return now() - self.idle_since_s
 
-    def send(self, request: bytes, match: Match | None = None) -> None:
+    def send(
+        self, request: bytes, match: Match | None = None, bodiless: bool = False
+    ) -> None:
         """Send a request.
 
         Args:
           request: Head and body.
           match: Tells whether an answer's status and headers are to this request.
+          bodiless: True if no body follows the answer's head, as for HEAD.
 
         Raises:
           UpstreamError: If the connection has ended; nothing was sent.
@@ -203,13 +210,13 @@
             raise UpstreamError("the kept connection has ended", sent=False)
         self._parser = httptools.HttpResponseParser(self)
         self._match = match
+        self._bodiless = bodiless
         self._busy = True
         self.status = 0
         self.headers = []
         self.complete = False
         self._chunks.clear()
         self._buffered = 0
-        self.used += 1
         self._transport.write(request)
 
     async def head(self) -> None:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -222,11 +222,7 @@
 
     async def _stop(self) -> None:
         await asyncio.sleep(BALANCER_LEAVES_S)
-        self.front.stop_listening()
-        self.front.closing_idle = True
-        end_s = self._stop_s + self.cfg.grace_s - CLOSE_S
-        while now() < end_s and (self.front.busy or self.front.conns):
-            await asyncio.sleep(0.05)
+        await self.front.finish(self._stop_s + self.cfg.grace_s - CLOSE_S)
         self.log.write("stopped", open=self.front.busy)
         self.stopped.set()
 
--- a/cranberrysail/settings.py
+++ b/cranberrysail/settings.py
@@ -149,6 +149,8 @@
       connect_s: Time to connect to an endpoint, in seconds.
       first_byte_s: Time until the first byte of a response, in seconds.
       idle_s: Longest silence within a response, in seconds.
+      request_s: Longest time for the head of a request, in seconds.
+      keep_s: Time after which an idle caller's connection is closed, in seconds.
     """
 
     body_bytes: Annotated[int, Field(ge=1024)] = 4 * 1024 * 1024
@@ -159,6 +161,8 @@
     connect_s: Seconds = 1.0
     first_byte_s: Seconds = 60.0
     idle_s: Seconds = 60.0
+    request_s: Seconds = 3.0
+    keep_s: Seconds = 15.0
 
 
 class Settings(_Strict):
--- a/cranberrysail/standins.py
+++ b/cranberrysail/standins.py
@@ -16,7 +16,6 @@
 from cranberrysail.httpserver import HttpServer
 from cranberrysail.platformlog import Appended, MemoryLog
 from cranberrysail.probe import LOAD_PATH
-from cranberrysail.responses import json_response
 
 __all__ = ["EngineStandIn", "PlatformStandIn", "ServiceStandIn", "expected_text"]
 
@@ -30,6 +29,12 @@
     max_tokens: int = 8
 
 
+def json_response(data: object, status: int = 200) -> Response:
+    """Return a response with a JSON body."""
+    content = Content(b"application/json", msgspec.json.encode(data))
+    return Response(status, None, content)
+
+
 def _digest(data: bytes) -> str:
     return hashlib.sha256(data).hexdigest()[:DIGEST_CHARS]
 
--- a/cranberrysail/upstream.py
+++ b/cranberrysail/upstream.py
@@ -48,7 +48,8 @@
     def write(self, request: UpstreamRequest, address: str) -> None:
         """Send the request."""
         self.sent = True
-        self.send(request.head(address) + request.body)
+        bodiless = request.method == "HEAD"
+        self.send(request.head(address) + request.body, bodiless=bodiless)
 
     async def response(self) -> None:
         """Wait for the headers.
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -20,7 +20,6 @@
     head = DIALECT.call_head(CALLER)
     assert (head.attempt_id, head.key, head.deadline_s) == ("a1", "k1", 12.0)
     assert head.parts == ("5c", "91", "e4")
-    assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
 
 
 def test_a_head_without_the_optional_headers_is_read():
@@ -34,9 +33,13 @@
 
 
 def test_numbers_that_are_none_are_passed_over():
-    odd = [(b"cranberrysail-deadline-ms", b"-5"), (b"cranberrysail-token-usage", b"x")]
-    head = DIALECT.call_head(odd)
-    assert (head.deadline_s, head.prompt_tokens) == (None, 0)
+    head = DIALECT.call_head([(b"cranberrysail-deadline-ms", b"-5")])
+    assert head.deadline_s is None
+
+
+def test_the_token_counts_reach_the_worker():
+    sent = DIALECT.endpoint_headers(CALLER, TERMS)
+    assert (b"cranberrysail-token-usage", b"1460,80") in sent
 
 
 def test_a_worker_gets_ours_in_place_of_the_callers():
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -45,6 +45,28 @@
     assert b"cranberrysail-response-seal: s" in caller.data
 
 
+def test_the_answer_to_a_head_request_is_passed_on_without_a_body():
+    async def headless(conn, got):
+        attempt = got.headers["cranberrysail-attempt-id"]
+        conn.transport.write(
+            f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+            "Content-Length: 4\r\n\r\n".encode()
+        )
+
+    async def main(world):
+        for worker in world.workers.values():
+            worker.answer = headless
+        data = request("/book/1").replace(b"POST", b"HEAD", 1)
+        first = await world.ask(data)
+        second = await world.ask(data)
+        conns = [c for w in world.workers.values() for c in w.conns]
+        return first, second, len(conns)
+
+    first, second, conns = scene(main, plain=1, engines=0)
+    assert (first.status, second.status, conns) == (200, 200, 1)
+    assert first.data.endswith(b"\r\n\r\n")
+
+
 def test_a_stream_is_passed_on_by_whole_events():
     async def main(world):
         return await world.ask(request("/chat/1"))
