--- a/cranberrysail/platform/records.py
+++ b/cranberrysail/platform/records.py
@@ -68,7 +68,6 @@
             max_attempts=max(1, self.max_attempts),
             timeout_s=self.timeout_ms / 1000,
             target_s=self.target_latency_ms / 1000,
-            max_gap_s=self.gap_aim_ms / 1000,
             public=self.public,
             resumable=self.stream_resumption,
             priority=self.priority,
--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -101,7 +101,6 @@
         relays=node.limits.link_mbps >= RELAY_MBPS,
         ready_path=READY_PATH,
         grace_s=bounds.grace_s,
-        beat_s=node.heartbeat_interval_ms / 1000,
         cold=ColdBound(bounds.cold_overage, bounds.cold_slack),
         repeats=RepeatBound(
             bounds.retry_budget_ratio, bounds.budget_slack, bounds.budget_window_s
--- a/cranberrysail/router/admission.py
+++ b/cranberrysail/router/admission.py
@@ -18,7 +18,6 @@
     COLD = "cold"
     FULL = "full"
     ENDPOINT_REFUSED = "endpoint_refused"
-    UNREACHABLE = "unreachable"
     TOO_LATE = "too_late"
 
 
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -249,7 +249,10 @@
         self._selector.first.note(call.route.name, took_s)
         if call.route.kind is not CallKind.STREAM:
             self._selector.work.note(call.service, took_s)
-        self._metrics.observe("first_byte", now() - call.request.arrived_s)
+        call.first_s = now() - call.request.arrived_s
+        self._metrics.observe("first_byte", call.first_s)
+        if call.first_s > call.route.target_s:
+            self._metrics.count("late", call.route.name)
 
     async def _relay(
         self,
--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -23,6 +23,7 @@
       tried: Endpoints that it was sent to.
       events: Events passed on so far, for a stream.
       begun: True once a part of an answer has gone to the caller.
+      first_s: From the call's arrival to the first byte of the answer, 0 before it.
       failure: An endpoint's failure that may still be given to the caller.
     """
 
@@ -40,6 +41,7 @@
     tried: set[str] = field(default_factory=set)
     events: EventSplitter = field(default_factory=EventSplitter)
     begun: bool = False
+    first_s: float = 0.0
     failure: tuple[int, Headers, bytes] | None = None
 
     @property
--- a/cranberrysail/router/config.py
+++ b/cranberrysail/router/config.py
@@ -40,7 +40,6 @@
       peers: ``ip:port`` of the listener for other routers.
       relays: True if its link has room to serve them.
       grace_s: Time from the request to stop until the process is killed.
-      beat_s: Interval of endpoints' declarations.
       cold: Bound on calls to a cold endpoint.
       repeats: Bound on second sends.
       placement: Bounds on placement.
@@ -57,7 +56,6 @@
     relays: bool = True
     ready_path: str = "/ready"
     grace_s: float = 8.0
-    beat_s: float = 1.2
     cold: ColdBound = field(default_factory=lambda: ColdBound(1.0, 0.0))
     repeats: RepeatBound = field(default_factory=lambda: RepeatBound(0.2, 0.0, 10.0))
     placement: PlacementBound = field(default_factory=PlacementBound)
--- a/cranberrysail/router/exchange.py
+++ b/cranberrysail/router/exchange.py
@@ -223,6 +223,8 @@
             id=call.head.attempt_id,
             endpoint=endpoint.name,
             ms=round(took_s * 1000),
+            first_ms=round(call.first_s * 1000),
+            late=call.first_s > call.route.target_s,
         )
 
     def _go_on(self, call: Call, endpoint: Endpoint, attempt: Attempt) -> bool:
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -124,7 +124,12 @@
 
 @SENTENCES.register("delivered")
 def _delivered(line: Line) -> str:
-    return f"the answer of {line.get('endpoint')} was delivered in {line.get('ms')} ms"
+    first = f"first byte after {line.get('first_ms')} ms"
+    late = ", later than the route aims at" if line.get("late") else ""
+    return (
+        f"the answer of {line.get('endpoint')} was delivered in "
+        f"{line.get('ms')} ms, {first}{late}"
+    )
 
 
 @SENTENCES.register("no_endpoint")
--- a/cranberrysail/router/model.py
+++ b/cranberrysail/router/model.py
@@ -41,7 +41,6 @@
       max_attempts: Endpoints at which one call may run.
       timeout_s: Longest time that a caller is kept waiting.
       target_s: Time to the answer, or to a stream's first event, that is aimed at.
-      max_gap_s: Longest pause between events that is aimed at, 0 if not a stream.
       public: True if callers need no key.
       resumable: True if a stream can go on at another endpoint.
       priority: 0 is the most urgent.
@@ -55,7 +54,6 @@
     max_attempts: int = 1
     timeout_s: float = 10.0
     target_s: float = 1.0
-    max_gap_s: float = 0.0
     public: bool = False
     resumable: bool = False
     priority: int = DEFAULT_PRIORITY
