--- a/cranberrysail/admission.py
+++ b/cranberrysail/admission.py
@@ -1,21 +1,14 @@
 """Admission of calls to endpoints by each endpoint's owner."""
 
 import math
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
-from cranberrysail.actions import ProbeEndpoint
-from cranberrysail.blackboard import Blackboard, MemberState, PoolTotal
+from cranberrysail.blackboard import Blackboard, PoolTotal
 from cranberrysail.controller import CONTROLLERS, BaseController, on
 from cranberrysail.events import (
     CallResult,
-    HostsRead,
     HostState,
-    MembersChanged,
-    ProbeAnswered,
-    ProbeFailed,
-    TablesChanged,
     Tick,
 )
 from cranberrysail.fairness import gives_way
@@ -25,25 +18,19 @@
     Ask,
     Deny,
     Grant,
-    Handover,
-    HeldCall,
-    Holding,
     Lives,
     Release,
 )
 from cranberrysail.slots import Permit, PermitKey, Slot
-from cranberrysail.warmth import Warmth, WarmthState
+from cranberrysail.warmth import WarmthState
 
 __all__ = ["AdmissionController", "DenyReason"]
 
-PROBE_MIN_S = 1.0
-PROBE_EACH_S = 0.2
-SILENT_PROBES = 3
-PERMIT_LIFE_S = 90.0
-HOLDING_GRACE_S = 5.0
+# How long a denied call keeps less urgent ones and large customers back.
 WAITING_S = 0.3
 DENIED_S = 0.3
-EARLY_S = 10.0
+# A tick later than this means that the router stood still; it then denies calls
+# until it has heard what it missed.
 STALL_S = 1.0
 RECOVER_S = 1.0
 
@@ -65,176 +52,22 @@
     OVER_SHARE = "over_share"
 
 
-@dataclass(frozen=True)
-class _Early:
-    """A handover that came before this router knew that it is the owner."""
-
-    message: Handover
-    at_s: float
-
-
 @CONTROLLERS.register("admission")
 class AdmissionController(BaseController):
     """Admits calls to the endpoints that this router owns."""
 
     def __init__(self, board: Blackboard) -> None:
         super().__init__(board)
-        self._cfg = board.settings.admission
         self._slots = board.slots
-        self._early: dict[str, _Early] = {}
         self._ticked_s = 0.0
         self._recovering_until_s = 0.0
 
-    @on(HostsRead)
-    def hosts_read(self, event: HostsRead, now: float) -> None:
-        """Follow the list."""
-        self._review(now)
-
-    @on(MembersChanged)
-    def members_changed(self, event: MembersChanged, now: float) -> None:
-        """Take over and hand over endpoints."""
-        self._drop_dead_holders(now)
-        self._review(now)
-
-    @on(TablesChanged)
-    def tables_changed(self, event: TablesChanged, now: float) -> None:
-        """Take new capacities over."""
-        for slot in self._slots.values():
-            slot.warmth.capacity = self.board.capacity(slot.host)
-            slot.warmth.cold = self.board.cold_capacity(slot.host)
-
-    def _review(self, now: float) -> None:
-        if not self.board.joined:
-            return
-        mine = {
-            host.name: host
-            for host in self.board.hosts.values()
-            if host.zone == self.board.zone
-            and self.board.owner_of(host.name) == self.board.name
-        }
-        for name in list(self._slots):
-            if name not in mine:
-                self._hand_over(name)
-        for name, host in mine.items():
-            if name not in self._slots:
-                self._take_over(host, now)
-            elif self._slots[name].host != host:
-                self._relist(self._slots[name], host, now)
-
-    def _take_over(self, host: Any, now: float) -> None:
-        warmth = Warmth(self.board.cold_capacity(host), self.board.capacity(host))
-        self._slots[host.name] = Slot(host, warmth, now)
-        early = self._early.pop(host.name, None)
-        if early is not None and now - early.at_s < EARLY_S:
-            self._adopt(self._slots[host.name], early.message, now)
-
-    def _relist(self, slot: Slot, host: Any, now: float) -> None:
-        relisted = host.instance != slot.host.instance
-        if relisted and slot.warmth.instance not in ("", host.instance):
-            slot.warmth.heard(host.instance, True, 0, now)
-        slot.host = host
-        slot.warmth.capacity = self.board.capacity(host)
-        slot.warmth.cold = self.board.cold_capacity(host)
-
-    def _hand_over(self, name: str) -> None:
-        slot = self._slots.pop(name)
-        owner = self.board.owner_of(name)
-        if owner is None or owner == self.board.name:
-            return
-        message = Handover(
-            name,
-            slot.held_by(),
-            tuple(slot.chats),
-            dict(slot.moved),
-            slot.settled,
-            slot.warmth.instance,
-            slot.warmth.state.value,
-            slot.warmth.ramp,
-        )
-        self.send(owner, message)
-
-    @on(Handover)
-    def handover(self, source: str, message: Handover, now: float) -> None:
-        """Take permits, chats and warmth from the previous owner."""
-        slot = self._slots.get(message.endpoint)
-        if slot is None:
-            self._early[message.endpoint] = _Early(message, now)
-            return
-        self._adopt(slot, message, now)
-
-    def _adopt(self, slot: Slot, message: Handover, now: float) -> None:
-        for router, calls in message.holders.items():
-            for held in calls:
-                self._hold(slot, router, held, now)
-        for chat in message.chats:
-            slot.remember_chat(chat, now)
-        for chat, at in message.moved.items():
-            slot.remember_moved(chat, at)
-        slot.settled |= message.settled
-        slot.warmth.adopt(message.instance, message.state, message.ramp)
-
-    def _hold(self, slot: Slot, router: str, held: HeldCall, now: float) -> None:
-        permit = Permit(held.customer, held.chat, now, now)
-        slot.add(PermitKey(router, held.call), permit, now)
-
-    @on(Holding)
-    def holding(self, source: str, message: Holding, now: float) -> None:
-        """Bring the permits of one router in line with what it holds."""
-        slot = self._slots.get(message.endpoint)
-        if slot is None:
-            return
-        for held in message.calls:
-            self._hold(slot, source, held, now)
-        held_now = {held.call for held in message.calls}
-        for key, permit in list(slot.permits.items()):
-            if key.router != source or key.call in held_now:
-                continue
-            if now - permit.granted_s > HOLDING_GRACE_S:
-                slot.remove(key, now)
-                self.board.counters["admission.stale_permits"] += 1
-
-    def _drop_dead_holders(self, now: float) -> None:
-        for slot in self._slots.values():
-            for key in list(slot.permits):
-                member = self.board.members.get(key.router)
-                if member is None or member.state is MemberState.DEAD:
-                    slot.remove(key, now)
-
     @on(Tick)
     def tick(self, event: Tick, now: float) -> None:
-        """Probe endpoints, settle ownership and lapse permits."""
+        """Notice that this router stood still."""
         if now - self._ticked_s > STALL_S:
             self._recovering_until_s = now + RECOVER_S
         self._ticked_s = now
-        interval = max(PROBE_MIN_S, PROBE_EACH_S * len(self._slots))
-        for slot in self._slots.values():
-            if now >= slot.next_probe_s:
-                slot.next_probe_s = now + interval
-                self._probe(slot, interval, now)
-            if not slot.settled and now - slot.since_s >= self._cfg.settle_s:
-                slot.settled = True
-
-    def _probe(self, slot: Slot, interval: float, now: float) -> None:
-        self.act(ProbeEndpoint(slot.host.name, slot.host.address))
-        heard = slot.report is not None
-        if heard and now - slot.report_s > SILENT_PROBES * interval:
-            slot.warmth.silence("no answer to probes")
-        for key, permit in list(slot.permits.items()):
-            if now - permit.confirmed_s > PERMIT_LIFE_S:
-                slot.remove(key, now)
-                self.board.counters["admission.lapsed_permits"] += 1
-
-    @on(ProbeAnswered)
-    def probe_answered(self, event: ProbeAnswered, now: float) -> None:
-        """Take a load report."""
-        slot = self._slots.get(event.endpoint)
-        if slot is not None:
-            slot.take_report(event.report, now)
-
-    @on(ProbeFailed)
-    def probe_failed(self, event: ProbeFailed, now: float) -> None:
-        """Stop admitting after several failures."""
-        self.board.counters["admission.probes_failed"] += 1
 
     @on(Ask)
     def ask(self, source: str, message: Ask, now: float) -> None:
--- a/cranberrysail/blackboard.py
+++ b/cranberrysail/blackboard.py
@@ -86,6 +86,8 @@
       totals: Pool totals by pool name.
       slots: Endpoints that this router owns, by name.
       held: Permits that this router holds, by endpoint and call.
+      holders: Who owned an endpoint when this router last told of its permits.
+      used: When this router last held a permit of an endpoint.
       draining: True during a planned stop.
       joined: True once this router knows the others, or that there are none.
       open_calls: Number of calls this router has open.
@@ -105,6 +107,8 @@
     counters: Counter = field(default_factory=Counter)
     slots: dict[str, Slot] = field(default_factory=dict)
     held: dict[str, dict[int, HeldCall]] = field(default_factory=dict)
+    holders: dict[str, str | None] = field(default_factory=dict)
+    used: dict[str, float] = field(default_factory=dict)
     draining: bool = False
     joined: bool = False
     open_calls: int = 0
@@ -155,6 +159,20 @@
         self._owners[endpoint] = owner
         return owner
 
+    def hold(self, endpoint: str, held: HeldCall, now: float) -> None:
+        """Note a permit that this router got."""
+        self.held.setdefault(endpoint, {})[held.call] = held
+        self.used[endpoint] = now
+        self.holders[endpoint] = self.owner_of(endpoint)
+
+    def let_go(self, endpoint: str, call: int) -> None:
+        """Note that a call no longer holds its permit."""
+        held = self.held.get(endpoint, {})
+        held.pop(call, None)
+        if not held:
+            self.held.pop(endpoint, None)
+            self.holders.pop(endpoint, None)
+
     def pool_hosts(self, pool: str) -> dict[str, list[ListedHost]]:
         """Return a pool's endpoints by availability zone."""
         if pool not in self._by_pool:
--- a/cranberrysail/calls.py
+++ b/cranberrysail/calls.py
@@ -6,29 +6,34 @@
 from cranberrysail.actions import AnswerRecorded, Dispatch, FailCall
 from cranberrysail.admission import DenyReason
 from cranberrysail.blackboard import Blackboard
+from cranberrysail.callerrors import (
+    broken,
+    claim_error,
+    may_have_run,
+    no_endpoint,
+    not_reached,
+    overloaded,
+)
 from cranberrysail.callstate import Asking, CallPhase, CallState, WaitQueue
-from cranberrysail.claims import ClaimVerdict, claims_owner
+from cranberrysail.claims import ClaimVerdict
 from cranberrysail.controller import CONTROLLERS, BaseController, on
 from cranberrysail.decisions import CallRecord
-from cranberrysail.errors import CallError, NotRunError, OutcomeUnknownError
+from cranberrysail.errors import CallError, NotRunError
 from cranberrysail.events import (
     CallArrived,
     CallCancelled,
     CallEnded,
     CallResult,
-    MembersChanged,
     Tick,
 )
 from cranberrysail.invariants import Invariant
+from cranberrysail.keyclaims import KeyClaims
 from cranberrysail.messages import (
     Ask,
-    ClaimAsk,
     ClaimReply,
-    ClaimSettle,
     Deny,
     Grant,
     HeldCall,
-    Holding,
     Lives,
     Release,
 )
@@ -47,10 +52,6 @@
 FULL_S = 0.05
 CLAIM_S = 3.0
 SEND_WITHIN_S = 2.0
-HOLDING_MIN_S = 5.0
-HOLDING_EACH_S = 0.1
-RETRY_AFTER_S = 1.0
-LOG_RETRY_AFTER_S = 5.0
 GRANT_LIFE_S = 1.0
 UNUSED = "unused"
 _HINTED = (DenyReason.FULL, DenyReason.COLD, DenyReason.SETTLING, DenyReason.SILENT)
@@ -69,9 +70,7 @@
         self._running: Counter = Counter()
         self._full_until: dict[str, float] = {}
         self._budget = RetryBudget(board.settings.limits.retry_share)
-        self._holders: dict[str, str | None] = {}
-        self._used: dict[str, float] = {}
-        self._next_holding_s = 0.0
+        self._keys = KeyClaims(board, self.send)
         self._tokens = RETRY_ASKS_S
         self._tokens_s = 0.0
 
@@ -98,24 +97,15 @@
     def _claim(self, call: CallState, now: float) -> None:
         call.phase = CallPhase.CLAIMING
         call.since_s = now
-        event = call.arrived
-        owner = claims_owner(self.board, event.key)
+        owner = self._keys.claim(call.arrived)
         self._note(call, now, f"asked {owner} to claim the idempotency key")
-        message = ClaimAsk(
-            event.call,
-            event.key,
-            event.digest,
-            event.key_issued_s,
-            float(event.route.key_max_age_s),
-        )
-        self.send(owner, message)
 
     @on(ClaimReply)
     def claim_reply(self, source: str, message: ClaimReply, now: float) -> None:
         """Go on with a keyed call as the log decided."""
         call = self._calls.get(message.call)
         if call is None or call.phase is not CallPhase.CLAIMING:
-            self._abandon_late(message)
+            self._keys.abandon_late(message)
             return
         self._note(call, now, f"the log says of the key: {message.verdict}")
         if message.verdict == ClaimVerdict.RUN:
@@ -131,19 +121,13 @@
             )
             self._forget(call, now)
             return
-        self._fail(call, _claim_error(message.verdict), now)
-
-    def _abandon_late(self, message: ClaimReply) -> None:
-        if message.verdict != ClaimVerdict.RUN:
-            return
-        settle = ClaimSettle(message.key, message.claim, ClaimVerdict.ABANDONED)
-        self.send(claims_owner(self.board, message.key), settle)
+        self._fail(call, claim_error(message.verdict), now)
 
     def _plan(self, call: CallState, now: float) -> None:
         event = call.arrived
         ranked = candidates(self.board, call.pool, event.chat, now)
         if not ranked:
-            self._fail(call, _no_endpoint(call.pool), now)
+            self._fail(call, no_endpoint(call.pool), now)
             return
         homes = [c.endpoint for c in ranked if not c.cached_only]
         call.home = homes[0] if event.chat else ""
@@ -198,7 +182,7 @@
         self._note(call, now, f"waits for pool {call.pool}: {call.last_deny or 'busy'}")
         worst = self._queue(call.pool).add(call)
         if worst is not None:
-            self._fail(worst, _overloaded(worst, "the queue is full"), now)
+            self._fail(worst, _no_room(worst, "the queue is full"), now)
 
     def _queue(self, pool: str) -> WaitQueue:
         if pool not in self._queues:
@@ -238,10 +222,8 @@
         call.endpoint = message.endpoint
         call.attempts += 1
         self._running[event.customer] += 1
-        held = self.board.held.setdefault(message.endpoint, {})
-        held[event.call] = HeldCall(event.call, event.customer, event.chat)
-        self._used[message.endpoint] = now
-        self._holders[message.endpoint] = self.board.owner_of(message.endpoint)
+        held = HeldCall(event.call, event.customer, event.chat)
+        self.board.hold(message.endpoint, held, now)
         cached = "with" if message.cached else "without"
         self._note(call, now, f"{message.endpoint} admits it, {cached} its cache")
         self.board.counters[f"placement.{cached}_cache"] += 1
@@ -287,7 +269,7 @@
         self.board.counters[f"calls.{event.result.value}"] += 1
         self._note(call, now, f"{endpoint} ended it: {event.result.value}")
         if event.result is CallResult.OK:
-            self._record(call, event)
+            self._keys.done(call, event)
             self._forget(call, now)
         elif event.result in (CallResult.CANCELLED, CallResult.CUT):
             call.maybe_ran = True
@@ -305,11 +287,7 @@
         self._running[call.arrived.customer] -= 1
         if self._running[call.arrived.customer] <= 0:
             del self._running[call.arrived.customer]
-        held = self.board.held.get(endpoint, {})
-        held.pop(event.call, None)
-        if not held:
-            self.board.held.pop(endpoint, None)
-            self._holders.pop(endpoint, None)
+        self.board.let_go(endpoint, event.call)
         self._release(event.call, endpoint, event.result.value, event.first_ms)
 
     def _release(self, call: int, endpoint: str, result: str, first_ms: int) -> None:
@@ -317,20 +295,6 @@
         if owner is not None:
             self.send(owner, Release(call, endpoint, result, first_ms))
 
-    def _record(self, call: CallState, event: CallEnded) -> None:
-        if not call.claim:
-            return
-        settle = ClaimSettle(
-            call.arrived.key,
-            call.claim,
-            ClaimVerdict.DONE,
-            event.status,
-            event.headers,
-            event.body,
-        )
-        self.send(claims_owner(self.board, call.arrived.key), settle)
-        call.claim = ""
-
     def _retry_or_fail(self, call: CallState, event: CallEnded, now: float) -> None:
         safe = call.arrived.route.idempotency is Idempotency.SAFE
         allowed = safe or not call.maybe_ran
@@ -339,9 +303,9 @@
             self._plan(call, now)
             return
         if call.maybe_ran:
-            self._fail(call, _broken(event.result), now)
+            self._fail(call, broken(event.result), now)
             return
-        self._fail(call, _not_reached(event.result), now)
+        self._fail(call, not_reached(event.result), now)
 
     @on(CallCancelled)
     def cancelled(self, event: CallCancelled, now: float) -> None:
@@ -351,19 +315,12 @@
             return
         self.board.counters["calls.cancelled_early"] += 1
         self._note(call, now, "the caller left")
-        self._abandon(call)
+        self._keys.abandon(call)
         self._forget(call, now)
 
-    def _abandon(self, call: CallState) -> None:
-        if not call.claim or call.maybe_ran:
-            return
-        settle = ClaimSettle(call.arrived.key, call.claim, ClaimVerdict.ABANDONED)
-        self.send(claims_owner(self.board, call.arrived.key), settle)
-        call.claim = ""
-
     def _fail(self, call: CallState, error: CallError, now: float) -> None:
         if isinstance(error, NotRunError) and call.maybe_ran:
-            error = _may_have_run(error)
+            error = may_have_run(error)
         if isinstance(error, NotRunError):
             self.board.invariants.check(
                 Invariant.NOT_RUN_TRUE,
@@ -371,7 +328,7 @@
                 now,
                 f"{call.arrived.request_id} may have run",
             )
-            self._abandon(call)
+            self._keys.abandon(call)
         self.board.counters[f"calls.failed.{error.code}"] += 1
         self._note(call, now, f"refused: {error.code}, {error.outcome}")
         self.act(FailCall(call.arrived.call, error))
@@ -393,23 +350,11 @@
             self._expire(call, now)
         for pool in list(self._queues):
             self._wake(pool, now, TRIES_PER_TICK)
-        if now >= self._next_holding_s:
-            self._sync_holding(now)
-
-    def _sync_holding(self, now: float) -> None:
-        for endpoint in self.board.held:
-            self._used[endpoint] = now
-        interval_s = max(HOLDING_MIN_S, HOLDING_EACH_S * len(self._used))
-        self._next_holding_s = now + interval_s
-        for endpoint in list(self._used):
-            self._send_holding(endpoint)
-            if now - self._used[endpoint] > 2 * interval_s:
-                del self._used[endpoint]
         self._full_until = {n: at for n, at in self._full_until.items() if at > now}
 
     def _expire(self, call: CallState, now: float) -> None:
         if call.phase is CallPhase.CLAIMING and now - call.since_s > CLAIM_S:
-            self._fail(call, _claim_error(ClaimVerdict.UNAVAILABLE), now)
+            self._fail(call, claim_error(ClaimVerdict.UNAVAILABLE), now)
         elif call.phase is CallPhase.ASKING and call.asking is not None:
             if now - call.asking.since_s > self._cfg.admission.ask_s:
                 self._note(call, now, f"{call.asking.owner} did not answer")
@@ -421,7 +366,7 @@
     def _expire_waiting(self, call: CallState, now: float) -> None:
         wait_s = self._cfg.limits.queue_s
         if now - call.arrived_s > wait_s:
-            self._fail(call, _overloaded(call, f"no room within {wait_s:g} s"), now)
+            self._fail(call, _no_room(call, f"no room within {wait_s:g} s"), now)
 
     def _wake(self, pool: str, now: float, count: int) -> None:
         queue = self._queues.get(pool)
@@ -445,21 +390,6 @@
         call.asks = 0
         self._ask_next(call, now)
 
-    @on(MembersChanged)
-    def members_changed(self, event: MembersChanged, now: float) -> None:
-        """Tell new owners of the permits that this router holds."""
-        for endpoint, before in list(self._holders.items()):
-            owner = self.board.owner_of(endpoint)
-            if owner != before:
-                self._holders[endpoint] = owner
-                self._send_holding(endpoint)
-
-    def _send_holding(self, endpoint: str) -> None:
-        owner = self.board.owner_of(endpoint)
-        held = self.board.held.get(endpoint, {})
-        if owner is not None:
-            self.send(owner, Holding(endpoint, tuple(held.values())))
-
     def dump(self) -> dict[str, Any]:
         """Return open calls by phase and the queues."""
         phases = Counter(call.phase.value for call in self._calls.values())
@@ -473,96 +403,5 @@
         }
 
 
-def _no_endpoint(pool: str) -> NotRunError:
-    return NotRunError(
-        "no_endpoint",
-        f"pool {pool} has no endpoint in service; try again when operators have "
-        "brought one back",
-        503,
-        RETRY_AFTER_S,
-    )
-
-
-def _overloaded(call: CallState, why: str) -> NotRunError:
-    status = 429 if call.last_deny == DenyReason.OVER_SHARE else 503
-    cause = call.last_deny or "busy"
-    return NotRunError(
-        "overloaded",
-        f"{why} in pool {call.pool} ({cause}); try again later",
-        status,
-        RETRY_AFTER_S,
-    )
-
-
-def _not_reached(result: CallResult) -> NotRunError:
-    return NotRunError(
-        "endpoint_unreachable",
-        f"no endpoint took the request ({result.value}); try again",
-        503,
-        RETRY_AFTER_S,
-    )
-
-
-def _broken(result: CallResult) -> OutcomeUnknownError:
-    return OutcomeUnknownError(
-        "broken",
-        f"the endpoint took the request but gave no whole answer ({result.value}); "
-        "look up whether it ran before you repeat it",
-        502,
-    )
-
-
-def _may_have_run(error: NotRunError) -> OutcomeUnknownError:
-    return OutcomeUnknownError(
-        error.code,
-        f"an endpoint broke off while it ran the request, and then: {error.message}",
-        error.status,
-        error.retry_after_s,
-    )
-
-
-def _claim_error(verdict: str) -> CallError:
-    match verdict:
-        case ClaimVerdict.MISMATCH:
-            return NotRunError(
-                "key_reused",
-                "this Idempotency-Key came with another request; use a new key",
-                422,
-            )
-        case ClaimVerdict.EXPIRED:
-            return NotRunError(
-                "key_expired",
-                "this Idempotency-Key is too old or from the future; look up "
-                "whether an earlier request ran, then use a new key",
-                400,
-            )
-        case ClaimVerdict.UNAVAILABLE:
-            return NotRunError(
-                "log_unavailable",
-                "the key could not be claimed, and this attempt did not run; "
-                "repeat it with the same key",
-                503,
-                LOG_RETRY_AFTER_S,
-            )
-        case ClaimVerdict.RUNNING:
-            return OutcomeUnknownError(
-                "still_running",
-                "an earlier request with this key is still running; repeat this "
-                "one with the same key",
-                409,
-                RETRY_AFTER_S,
-            )
-        case ClaimVerdict.NOT_KEPT:
-            return OutcomeUnknownError(
-                "already_done",
-                "an earlier request with this key ran, and its answer is too "
-                "large to be kept; look the result up",
-                409,
-            )
-        case _:
-            return OutcomeUnknownError(
-                "outcome_unknown",
-                "an earlier request with this key may have run; look up whether "
-                "it did, then use a new key",
-                409,
-            )
+def _no_room(call: CallState, why: str) -> NotRunError:
+    return overloaded(call.pool, call.last_deny, why)
--- a/cranberrysail/controller.py
+++ b/cranberrysail/controller.py
@@ -2,32 +2,17 @@
 
 from abc import ABC
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any
 
 from cranberrysail.actions import Action, SendPeer
 from cranberrysail.blackboard import Blackboard, MemberState
 from cranberrysail.events import Event
+from cranberrysail.handlers import handlers_of, on
 from cranberrysail.messages import Message
 from cranberrysail.registry import Registry
 
 __all__ = ["CONTROLLERS", "BaseController", "on"]
 
-F = TypeVar("F", bound=Callable)
-
-
-def on(*kinds: type) -> Callable[[F], F]:
-    """Mark a method as the handler of event or message types.
-
-    A handler of an event takes ``(event, now)``; a handler of a message takes
-    ``(source, message, now)``.
-    """
-
-    def decorate(method: F) -> F:
-        method.handles = kinds
-        return method
-
-    return decorate
-
 
 class BaseController(ABC):  # noqa: B024
     """Decides on one matter, from the blackboard and events."""
@@ -44,12 +29,7 @@
 
     def handlers(self) -> dict[type, Callable]:
         """Return this controller's handlers by event or message type."""
-        found: dict[type, Callable] = {}
-        for name in dir(type(self)):
-            method = getattr(type(self), name)
-            for kind in getattr(method, "handles", ()):
-                found[kind] = getattr(self, name)
-        return found
+        return handlers_of(self)
 
     def act(self, action: Action) -> None:
         """Decide on an action."""
--- a/cranberrysail/gateway.py
+++ b/cranberrysail/gateway.py
@@ -16,6 +16,7 @@
     CallResult,
     Event,
 )
+from cranberrysail.handlers import on
 from cranberrysail.invariants import Invariant, Invariants
 from cranberrysail.metrics import Metrics
 from cranberrysail.relay import EventRelay, PlainRelay
@@ -113,6 +114,7 @@
         elif live.task is not None:
             live.task.cancel()
 
+    @on(Dispatch)
     def dispatch(self, action: Dispatch) -> None:
         """Send a call to an endpoint."""
         live = self._live.get(action.call)
@@ -122,6 +124,7 @@
         live.dispatched = True
         live.task = asyncio.ensure_future(self._attempt(live, action))
 
+    @on(FailCall)
     def fail(self, action: FailCall) -> None:
         """Give a caller its final error."""
         error = action.error
@@ -130,6 +133,7 @@
             self._log.info("Refused {}: {}.", live.arrived.request_id, error.code)
         self._answer(action.call, error_answer(error))
 
+    @on(AnswerRecorded)
     def answer_recorded(self, action: AnswerRecorded) -> None:
         """Give a caller the recorded answer of an earlier call."""
         headers = [
--- a/cranberrysail/models.py
+++ b/cranberrysail/models.py
@@ -5,7 +5,10 @@
 
 from cranberrysail.events import ListedHost, LoadReport
 
-__all__ = ["EngineModel", "EngineSpeed", "Prompt"]
+__all__ = ["COLD_CALLS", "EngineModel", "EngineSpeed", "Prompt"]
+
+# Calls after which an engine that turned cold is warm.
+COLD_CALLS = 32
 
 
 @dataclass(frozen=True)
--- a/cranberrysail/node.py
+++ b/cranberrysail/node.py
@@ -10,8 +10,11 @@
     calls,
     claims,
     drain,
+    holdings,
     hostlist,
     membership,
+    ownership,
+    probing,
     sums,
     tablesync,
 )
@@ -24,7 +27,20 @@
 __all__ = ["DUMP_VERSION", "Node"]
 
 DUMP_VERSION = 1
-_MODULES = (hostlist, membership, tablesync, sums, admission, claims, calls, drain)
+# In the order in which controllers see an event.
+_MODULES = (
+    hostlist,
+    membership,
+    tablesync,
+    sums,
+    ownership,
+    probing,
+    admission,
+    claims,
+    calls,
+    holdings,
+    drain,
+)
 
 
 class Node:
--- /dev/null
+++ b/cranberrysail/probing.py
@@ -0,0 +1,53 @@
+"""Probing the endpoints that this router owns, and lapsing their permits."""
+
+from cranberrysail.actions import ProbeEndpoint
+from cranberrysail.controller import CONTROLLERS, BaseController, on
+from cranberrysail.events import ProbeAnswered, ProbeFailed, Tick
+from cranberrysail.slots import Slot
+
+__all__ = ["ProbingController"]
+
+# Probes are spread: at least a second, and longer for an owner of many endpoints.
+PROBE_MIN_S = 1.0
+PROBE_EACH_S = 0.2
+# Probes in a row without an answer after which an endpoint counts as silent.
+SILENT_PROBES = 3
+# A permit that nobody confirms for this long has lost its holder.
+PERMIT_LIFE_S = 90.0
+
+
+@CONTROLLERS.register("probing")
+class ProbingController(BaseController):
+    """Asks endpoints for their load."""
+
+    @on(Tick)
+    def tick(self, event: Tick, now: float) -> None:
+        """Probe endpoints that are due and lapse permits."""
+        slots = self.board.slots
+        interval = max(PROBE_MIN_S, PROBE_EACH_S * len(slots))
+        for slot in slots.values():
+            if now >= slot.next_probe_s:
+                slot.next_probe_s = now + interval
+                self._probe(slot, interval, now)
+
+    def _probe(self, slot: Slot, interval: float, now: float) -> None:
+        self.act(ProbeEndpoint(slot.host.name, slot.host.address))
+        heard = slot.report is not None
+        if heard and now - slot.report_s > SILENT_PROBES * interval:
+            slot.warmth.silence("no answer to probes")
+        for key, permit in list(slot.permits.items()):
+            if now - permit.confirmed_s > PERMIT_LIFE_S:
+                slot.remove(key, now)
+                self.board.counters["admission.lapsed_permits"] += 1
+
+    @on(ProbeAnswered)
+    def probe_answered(self, event: ProbeAnswered, now: float) -> None:
+        """Take a load report."""
+        slot = self.board.slots.get(event.endpoint)
+        if slot is not None:
+            slot.take_report(event.report, now)
+
+    @on(ProbeFailed)
+    def probe_failed(self, event: ProbeFailed, now: float) -> None:
+        """Stop admitting after several failures."""
+        self.board.counters["admission.probes_failed"] += 1
--- a/cranberrysail/process.py
+++ b/cranberrysail/process.py
@@ -5,16 +5,12 @@
 import ssl
 import time
 from collections import Counter
-from collections.abc import Callable
 from typing import Any
 
 from cranberrysail import logs
 from cranberrysail.actions import (
     Action,
-    AnswerRecorded,
     AppendStream,
-    Dispatch,
-    FailCall,
     ProbeEndpoint,
     ReadStream,
     SendPeer,
@@ -37,6 +33,7 @@
 )
 from cranberrysail.front import Front, tls_context
 from cranberrysail.gateway import Gateway
+from cranberrysail.handlers import handlers_of, on
 from cranberrysail.messages import Message
 from cranberrysail.metrics import Metrics
 from cranberrysail.node import Node
@@ -80,13 +77,7 @@
         self._peers = PeerTransport(cfg.name, cfg.peers.keys, self._receive)
         self._platform_log = HttpLog(cfg.platform.log_url, cfg.platform.timeout_s)
         self._hosts = HostList(cfg.platform.hosts_url, cfg.platform.timeout_s)
-        self._performers: dict[type, Callable[[Any], None]] = {
-            SendPeer: self._send_peer,
-            ProbeEndpoint: lambda action: self._spawn(self._probe(action)),
-            ReadStream: lambda action: self._spawn(self._read(action)),
-            AppendStream: lambda action: self._spawn(self._append(action)),
-            Stopped: lambda action: self.stopped.set(),
-        }
+        self._performers = handlers_of(self)
 
     @classmethod
     def from_config(cls, cfg: Settings) -> "RouterProcess":
@@ -111,12 +102,7 @@
             self.metrics,
             self.node.board.invariants,
         )
-        for kind, method in (
-            (Dispatch, self.gateway.dispatch),
-            (FailCall, self.gateway.fail),
-            (AnswerRecorded, self.gateway.answer_recorded),
-        ):
-            self._performers[kind] = method
+        self._performers |= handlers_of(self.gateway)
         await self._listen()
         self._spawn(self._tick())
         self._spawn(self._follow_hosts())
@@ -179,9 +165,26 @@
     def _receive(self, source: str, message: Message) -> None:
         self.handle(PeerArrived(source, message))
 
+    @on(SendPeer)
     def _send_peer(self, action: SendPeer) -> None:
         self._peers.send(action.address, action.message, self.clock.now())
 
+    @on(ProbeEndpoint)
+    def _start_probe(self, action: ProbeEndpoint) -> None:
+        self._spawn(self._probe(action))
+
+    @on(ReadStream)
+    def _start_read(self, action: ReadStream) -> None:
+        self._spawn(self._read(action))
+
+    @on(AppendStream)
+    def _start_append(self, action: AppendStream) -> None:
+        self._spawn(self._append(action))
+
+    @on(Stopped)
+    def _note_stopped(self, action: Stopped) -> None:
+        self.stopped.set()
+
     async def _tick(self) -> None:
         next_idle_s = self.clock.now() + IDLE_LINKS_S
         while True:
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -42,7 +42,7 @@
         prompt = Prompt(7, 1000, 100, 400)
         driver.call(driver.ready_routers()[0], "chat", CHAT, "guide", prompt)
     driver.run(2.0)
-    assert driver.truth.violated[Invariant.LOAD_BOUND]
+    assert driver.truth.invariants.violated[Invariant.LOAD_BOUND]
 
 
 def test_out_of_service_without_looking_at_the_tables(monkeypatch):
@@ -51,7 +51,7 @@
     driver.set_out(RowKind.ZONE, ZONES[0], True)
     driver.run(4.0)
     load(driver, 60)
-    assert driver.truth.violated[Invariant.OUT_OF_SERVICE]
+    assert driver.truth.invariants.violated[Invariant.OUT_OF_SERVICE]
 
 
 def test_leaving_without_looking_at_the_list(monkeypatch):
@@ -89,21 +89,21 @@
             book(driver, f"key-{number}", router=router)
         driver.run(0.2)
     driver.run(5.0)
-    assert driver.truth.violated[Invariant.AT_MOST_ONCE]
+    assert driver.truth.invariants.violated[Invariant.AT_MOST_ONCE]
 
 
 def test_not_run_is_false_without_noting_that_a_call_may_have_run(monkeypatch):
     monkeypatch.setattr(
-        calls, "_broken", lambda result: NotRunError("broken", "wrongly", 503)
+        calls, "broken", lambda result: NotRunError("broken", "wrongly", 503)
     )
-    monkeypatch.setattr(calls, "_may_have_run", lambda error: error)
+    monkeypatch.setattr(calls, "may_have_run", lambda error: error)
     driver = make_driver(SEED)
     outcome = book(driver, "k")
     while not outcome.endpoint:
         driver.run(0.01)
     ended = CallEnded(outcome.arrived.call, CallResult.BROKEN)
     driver._give(outcome.router, ended)
-    assert driver.truth.violated[Invariant.NOT_RUN_TRUE]
+    assert driver.truth.invariants.violated[Invariant.NOT_RUN_TRUE]
 
 
 def test_a_stop_cuts_calls_without_waiting_for_them(monkeypatch):
@@ -119,7 +119,7 @@
     driver.run(1.0)
     driver.stop_router(outcome.router)
     driver.run(1.0)
-    assert driver.truth.violated[Invariant.STOP_CUTS_NOTHING]
+    assert driver.truth.invariants.violated[Invariant.STOP_CUTS_NOTHING]
 
 
 def test_tables_go_back_without_comparing_versions():
