A load tool: cranberrysail bench plays calls at model engines, by policy

Takes the place of bench/serving.py: a sheet with comments, drawn or recorded arrivals, engines with chunks, memory and preemption, ten policies in a registry, a table and charts (make plots).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 EXAMPLES ?= 1000
 
-.PHONY: env demo test lint bench capacity soak binary clean
+.PHONY: env demo test lint bench plots capacity soak binary clean
 
 env: .venv/.ready
 
@@ -26,11 +26,14 @@
 	$(PY) -m bench.relay
 	$(PY) -m bench.admission
 	$(PY) -m bench.placement $(SEED)
-	$(PY) -m bench.serving $(SEED)
 	$(PY) -m bench.faults zonemoves $(SEED)
 	$(PY) -m bench.faults surge $(SEED)
 	$(PY) -m bench.faults bookings $(SEED)
 
+plots: env
+	$(PY) -m cranberrysail bench bench/sheets/guides.jsonc --seed $(SEED) --plots docs/plots
+	$(PY) -m cranberrysail bench bench/sheets/authors.jsonc --seed $(SEED) --plots docs/plots
+
 capacity: env
 	$(PY) -m bench.capacity
 
--- /dev/null
+++ b/cranberrysail/benchmark/policy.py
@@ -0,0 +1,163 @@
+"""Ways to place and order calls that can be played against each other."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cranberrysail.benchmark.arrivals import Arrival
+from cranberrysail.benchmark.sheet import CallSheet
+from cranberrysail.registry import Registry
+from cranberrysail.router.admission import AdmissionBound
+from cranberrysail.router.placement import PlacementBound, cache_source
+from cranberrysail.router.selector import Choice
+
+if TYPE_CHECKING:
+    from cranberrysail.benchmark.play import Play, RouterModel
+
+__all__ = ["POLICIES", "BasePolicy"]
+
+NEVER_SPILL = 1e9
+
+
+class BasePolicy(ABC):
+    """Places calls, and says how urgent they are at the engine.
+
+    Attributes:
+      bound: When a home gives way.
+      admission: When a call is refused.
+      fetches: True if engines fetch prompt cache from each other.
+      entry_calls: Calls that a router has open at one engine at most; further
+        ones wait at the router. 0 if it has no queue.
+    """
+
+    bound = PlacementBound()
+    admission = AdmissionBound()
+    fetches = True
+    entry_calls = 0
+
+    @abstractmethod
+    def choose(
+        self, play: "Play", router: "RouterModel", kind: CallSheet, arrival: Arrival
+    ) -> Choice:
+        """Return where a call goes.
+
+        Args:
+          play: The play, with its time and its engines.
+          router: The router that the call came to.
+          kind: What kind of call it is.
+          arrival: The call.
+        """
+
+    def urgency(self, kind: CallSheet) -> int:
+        """Return how urgent a call is at its engine, 0 first."""
+        return kind.priority
+
+
+POLICIES: Registry[type[BasePolicy]] = Registry("policy")
+
+
+@POLICIES.register("as the product")
+class ProductPolicy(BasePolicy):
+    """The router's own decisions."""
+
+    def choose(
+        self, play: "Play", router: "RouterModel", kind: CallSheet, arrival: Arrival
+    ) -> Choice:
+        """Return what the router's selector chooses."""
+        parts = (f"{kind.name}-{arrival.subject}", "own")
+        return router.choose(play.tables, parts, kind.left_s, play.now)
+
+
+@POLICIES.register("least loaded")
+class LeastLoadedPolicy(ProductPolicy):
+    """Prompts don't count; engines fetch nothing."""
+
+    fetches = False
+
+    def choose(
+        self, play: "Play", router: "RouterModel", kind: CallSheet, arrival: Arrival
+    ) -> Choice:
+        """Return the least loaded engine that the router knows."""
+        return router.choose(play.tables, (), kind.left_s, play.now)
+
+
+@POLICIES.register("without fetching")
+class NoFetchPolicy(ProductPolicy):
+    """As the product, but a spilled call reads its prompt again."""
+
+    fetches = False
+
+
+@POLICIES.register("spill early")
+class EarlySpillPolicy(ProductPolicy):
+    """Homes give way at a quarter above the mean."""
+
+    bound = PlacementBound(1.25, 2.0)
+
+
+@POLICIES.register("never spill")
+class HomeOnlyPolicy(ProductPolicy):
+    """Homes never give way."""
+
+    bound = PlacementBound(NEVER_SPILL, NEVER_SPILL)
+
+
+@POLICIES.register("queue at the entry")
+class EntryQueuePolicy(ProductPolicy):
+    """A router has few calls open at an engine and keeps the others itself."""
+
+    entry_calls = 3
+
+
+@POLICIES.register("no urgency")
+class FirstComePolicy(ProductPolicy):
+    """Engines take calls as they come."""
+
+    def urgency(self, kind: CallSheet) -> int:
+        """Return the same for all."""
+        return 0
+
+
+@POLICIES.register("shortest first")
+class ShortestFirstPolicy(ProductPolicy):
+    """Engines take short prompts first."""
+
+    def urgency(self, kind: CallSheet) -> int:
+        """Return more for a kind with longer prompts."""
+        return min(9, (kind.shared + kind.own).bit_length() // 2)
+
+
+@POLICIES.register("refuse early")
+class EarlyRefusalPolicy(ProductPolicy):
+    """A call is refused once it would wait a tenth of its time."""
+
+    admission = AdmissionBound(wait_share=0.1)
+
+
+@dataclass(frozen=True)
+class _Forecast:
+    wait_ms: float
+    engine: str
+
+
+@POLICIES.register("all-knowing")
+class AllKnowingPolicy(BasePolicy):
+    """The engine with the soonest first token, from what truly is: the limit."""
+
+    def choose(
+        self, play: "Play", router: "RouterModel", kind: CallSheet, arrival: Arrival
+    ) -> Choice:
+        """Return the engine that would answer first."""
+        prompt = f"{kind.name}-{arrival.subject}"
+        sheet = play.sheet.engines
+        holds = any(prompt in engine.kept for engine in play.engines.values())
+        forecasts = []
+        for name, engine in play.engines.items():
+            cost = sheet.fetch_share if holds else 1.0
+            shared = 0.0 if prompt in engine.kept else arrival.shared * cost
+            tokens = engine.unread_tokens + shared + arrival.own
+            full = max(0, engine.load + 1 - sheet.slots) * sheet.step_ms * 10
+            forecasts.append(_Forecast(tokens / sheet.read_tokens_a_ms + full, name))
+        best = router.endpoints[min(forecasts, key=lambda f: f.wait_ms).engine]
+        others = [e for e in router.endpoints.values() if prompt in play.kept_at(e)]
+        return Choice(best, cache_source=cache_source(others, prompt, best))
--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -259,6 +259,44 @@
     raise typer.Exit(asyncio.run(run_demo()))
 
 
+@app.command()
+def bench(
+    sheet: Annotated[Path, typer.Argument(help="Kinds of calls, engines, routers.")],
+    rate: Annotated[float, typer.Option(help="Multiple of the sheet's rates.")] = 1.0,
+    seed: Annotated[int, typer.Option(help="Seed of all randomness.")] = 1,
+    policy: Annotated[
+        list[str] | None, typer.Option(help="A policy; all of them if none is named.")
+    ] = None,
+    arrivals: Annotated[
+        Path | None, typer.Option(help="Recorded arrivals, in place of drawn ones.")
+    ] = None,
+    record: Annotated[
+        Path | None, typer.Option(help="Where to write the arrivals played.")
+    ] = None,
+    plots: Annotated[Path | None, typer.Option(help="Folder for charts.")] = None,
+) -> None:
+    """Play calls at model engines through the router's decisions, by policy."""
+    from cranberrysail import benchmark
+
+    cfg = _or_raise(jsonc.load_model(sheet, benchmark.Sheet))
+    if arrivals is None:
+        calls = benchmark.draw(cfg, rate, seed)
+    else:
+        calls = benchmark.read_arrivals(arrivals, cfg)
+    if record is not None:
+        benchmark.write_arrivals(record, calls)
+    plays = {}
+    for name in policy or benchmark.POLICIES.names():
+        way = benchmark.POLICIES.get(name)()
+        plays[name] = benchmark.Play(cfg, calls, way, seed).run()
+    title = f"{sheet.stem}-{rate:g}"
+    typer.echo(f"{title} times its rate, seed {seed}, {len(calls)} calls\n")
+    typer.echo(benchmark.table(plays))
+    if plots is not None:
+        for path in benchmark.write_plots(plays, plots, title):
+            typer.echo(f"\nwrote {path}")
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/tests/benchmark/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tool."""
