--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -36,6 +36,8 @@
 RETRY_AFTER = b"retry-after"
 # Status of a worker that is not the one expected.
 MISDIRECTED = 421
+# Longer numbers in headers are none that anybody means.
+MOST_DIGITS = 12
 # Urgency goes from 0 to this.
 LEAST_URGENT = 9
 
@@ -67,11 +69,11 @@
     def call_head(self, headers: Headers) -> CallHead:
         """Return what a client's headers say."""
         named = dict(headers)
-        deadline = named.get(DEADLINE_MS, b"").strip()
+        deadline_ms = _number(named.get(DEADLINE_MS, b""))
         return CallHead(
             attempt_id=named.get(ATTEMPT_ID, b"").strip().decode("latin-1"),
             key=named.get(CREDENTIAL, b"").strip().decode("latin-1"),
-            deadline_s=int(deadline) / 1000 if deadline.isdigit() else None,
+            deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             parts=_parts(named.get(PROMPT_PREFIX, b"")),
         )
 
@@ -118,6 +120,12 @@
         return headers
 
 
+def _number(value: bytes) -> int | None:
+    """Return a number in decimal digits, or None if it is not one of a sane size."""
+    value = value.strip()
+    return int(value) if value.isdigit() and len(value) <= MOST_DIGITS else None
+
+
 def _parts(value: bytes) -> tuple[str, ...]:
     entries = value.decode("latin-1").split(",") if value else []
     return tuple(entry.partition(":")[0].strip() for entry in entries)
@@ -125,10 +133,10 @@
 
 def _numbers(value: bytes, count: int) -> list[int]:
     """Return the numbers of a list, zeros if it is not such a list."""
-    items = [item.strip() for item in value.split(b",")]
-    if len(items) != count or not all(item.isdigit() for item in items):
+    items = [_number(item) for item in value.split(b",")]
+    if len(items) != count or None in items:
         return [0] * count
-    return [int(item) for item in items]
+    return items
 
 
 def _report(value: bytes) -> LoadReport | None:
@@ -139,6 +147,6 @@
 def _keep_s(value: bytes) -> float:
     for item in value.split(b","):
         name, _, number = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
-            return float(number)
+        if name.lower() == b"timeout":
+            return float(_number(number) or 0)
     return 0.0
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -33,8 +33,9 @@
 
 
 def test_numbers_that_are_none_are_passed_over():
-    head = DIALECT.call_head([(b"cranberrysail-deadline-ms", b"-5")])
-    assert head.deadline_s is None
+    for odd in (b"-5", b"x", b"", b"9" * 5000):
+        head = DIALECT.call_head([(b"cranberrysail-deadline-ms", odd)])
+        assert head.deadline_s is None
 
 
 def test_the_token_counts_reach_the_worker():
