Routers of a zone tell each other of loads; homes give way sooner in large fleets

Each of 75 routers hears from an engine every 13 s, so what it believed of a full home was the mean. The test of an old report now follows its fading: the old one held it to be nothing after 2 s.

--- a/cranberrysail/benchmark/arrivals.py
+++ b/cranberrysail/benchmark/arrivals.py
@@ -65,6 +65,8 @@
         if rng.random() * most > sheet.times(at_s):
             continue
         subject = int(kind.subjects * rng.random() ** SKEW)
+        if rng.random() < sheet.hot_share(kind.name, at_s):
+            subject = 0
         tokens = _size(rng, kind.events) * sheet.engines.event_tokens
         own = _size(rng, kind.own)
         yield Arrival(round(at_s, 6), kind.name, subject, sizes[subject], own, tokens)
--- a/cranberrysail/benchmark/plot.py
+++ b/cranberrysail/benchmark/plot.py
@@ -24,6 +24,8 @@
     "#999999",
     "#8c510a",
     "#5e3c99",
+    "#b8860b",
+    "#666633",
 )
 
 
@@ -42,7 +44,7 @@
       title: What it shows.
       x_name: What the horizontal axis holds, with its unit.
       y_name: What the vertical axis holds, with its unit.
-      lines: At most ten lines.
+      lines: At most twelve lines.
     """
     points = [point for line in lines for point in line.points]
     x_most = max((x for x, _ in points), default=1.0) or 1.0
--- a/cranberrysail/benchmark/sheet.py
+++ b/cranberrysail/benchmark/sheet.py
@@ -2,7 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-__all__ = ["Burst", "CallSheet", "EngineSheet", "Sheet"]
+__all__ = ["Burst", "CallSheet", "EngineSheet", "HotTime", "Sheet", "SlowTime"]
 
 
 class _Strict(BaseModel):
@@ -76,6 +76,32 @@
     times: float = Field(gt=0)
 
 
+class HotTime(_Strict):
+    """A time in which one subject gets much of the calls of a kind.
+
+    Attributes:
+      kind: Name of the kind.
+      share: Part of its calls that are on its first subject.
+    """
+
+    from_s: float = Field(ge=0)
+    to_s: float = Field(gt=0)
+    kind: str
+    share: float = Field(gt=0, le=1)
+
+
+class SlowTime(_Strict):
+    """A time in which the first engine is slow.
+
+    Attributes:
+      times: By how much each step takes longer.
+    """
+
+    from_s: float = Field(ge=0)
+    to_s: float = Field(gt=0)
+    times: float = Field(gt=1)
+
+
 class Sheet(_Strict):
     """All that a play needs beside its arrivals.
 
@@ -89,6 +115,8 @@
     engines: EngineSheet
     calls: tuple[CallSheet, ...] = Field(min_length=1)
     bursts: tuple[Burst, ...] = ()
+    hot: tuple[HotTime, ...] = ()
+    slow: tuple[SlowTime, ...] = ()
 
     @model_validator(mode="after")
     def _names_differ(self) -> "Sheet":
@@ -101,6 +129,20 @@
         """Return a kind of call by its name, or None."""
         return next((call for call in self.calls if call.name == name), None)
 
+    def hot_share(self, kind: str, at_s: float) -> float:
+        """Return the part of a kind's calls that are on one subject at a time."""
+        shares = (
+            hot.share
+            for hot in self.hot
+            if hot.kind == kind and hot.from_s <= at_s < hot.to_s
+        )
+        return max(shares, default=0.0)
+
+    def slowness(self, at_s: float) -> float:
+        """Return by how much the first engine is slower at a time."""
+        found = (s.times for s in self.slow if s.from_s <= at_s < s.to_s)
+        return max(found, default=1.0)
+
     def times(self, at_s: float) -> float:
         """Return by how much rates are grown at a time."""
         grown = 1.0
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -10,6 +10,7 @@
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import EndpointDirectory
+from cranberrysail.router.loadnews import LoadNews
 from cranberrysail.router.model import EndpointRecord, RouteTables
 from cranberrysail.router.peers import PeerBook, encode_peer
 from cranberrysail.router.recordrelay import RecordRelay
@@ -303,18 +304,21 @@
 class Follower:
     """Keeps up with all topics."""
 
-    def __init__(self, cfg: RouterConfig, store: BaseStore, beliefs: Beliefs) -> None:
+    def __init__(
+        self, cfg: RouterConfig, store: BaseStore, beliefs: Beliefs, news: LoadNews
+    ) -> None:
         """Create a follower.
 
         Args:
           cfg: Settings of the router.
           store: The store.
           beliefs: What to tell.
+          news: What peers tell each other of endpoints' loads.
         """
         self._cfg = cfg
         self._store = store
         self._beliefs = beliefs
-        self.sources = RecordSources(store, beliefs.peers, beliefs.log)
+        self.sources = RecordSources(store, beliefs.peers, beliefs.log, news)
         self.relay = RecordRelay()
         self.topics = [
             TopicFollower(self.sources, self.relay, topic, beliefs)
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -4,10 +4,14 @@
 
 from cranberrysail.router.endpoints import Endpoint
 
-__all__ = ["EndpointView", "LoadBook", "LoadReport"]
-
-# Reports come with answers; older ones say little of the present load.
-REPORT_LIFE_S = 2.0
+__all__ = ["REPORT_LIFE_S", "EndpointView", "LoadBook", "LoadReport"]
+
+# Reports come with answers. One that is older than this says less and less: what
+# it told fades to the mean.
+REPORT_FRESH_S = 2.0
+REPORT_HALF_S = 3.0
+# From then on it says nothing.
+REPORT_LIFE_S = 10.0
 # Weight of a new sample in the averages of an endpoint.
 SAMPLE_WEIGHT = 0.2
 # Time in which an endpoint that failed or was slow is half forgiven.
@@ -40,7 +44,8 @@
     """This router's view of one incarnation of an endpoint.
 
     Attributes:
-      others: Open calls of other routers at the last report.
+      told: Open calls of all routers at the last report.
+      others: Those of other routers.
       reported_s: When the last report came.
       waiting: Length of its queue at the last report.
       slowness: Average of the time of an answer over the time expected.
@@ -50,6 +55,7 @@
       heard_s: When the last byte came from it.
     """
 
+    told: int = 0
     others: float = 0.0
     reported_s: float = float("-inf")
     waiting: int = 0
@@ -66,6 +72,13 @@
         oldest_s = next(iter(self.pending.values()))
         return now - max(oldest_s, self.heard_s) > SILENT_S
 
+    def trust(self, now: float) -> float:
+        """Return how much the last report says of now, from 0 to 1."""
+        age_s = now - self.reported_s
+        if age_s > REPORT_LIFE_S:
+            return 0.0
+        return 0.5 ** (max(0.0, age_s - REPORT_FRESH_S) / REPORT_HALF_S)
+
     def _fade(self, now: float) -> None:
         keep = 0.5 ** ((now - self.judged_s) / FORGIVE_S)
         self.slowness = 1.0 + (self.slowness - 1.0) * keep
@@ -111,10 +124,23 @@
 
     def report(self, endpoint: Endpoint, report: LoadReport, now: float) -> None:
         """Take a report; what this router has open there is not others' load."""
+        self.view(endpoint).waiting = report.waiting
+        self.told(endpoint, report.running + report.waiting, now)
+
+    def told(self, endpoint: Endpoint, load: int, at_s: float) -> None:
+        """Take the open calls that an endpoint had, unless a newer count is known.
+
+        Args:
+          endpoint: The endpoint.
+          load: Its open calls, from all routers.
+          at_s: When it said so.
+        """
         view = self.view(endpoint)
-        view.others = max(0, report.running + report.waiting - endpoint.open)
-        view.waiting = report.waiting
-        view.reported_s = now
+        if at_s <= view.reported_s:
+            return
+        view.told = load
+        view.others = max(0, load - endpoint.open)
+        view.reported_s = at_s
 
     def load(self, endpoint: Endpoint, fallback: float, now: float) -> float:
         """Return the open calls that an endpoint has, as far as known.
@@ -125,17 +151,14 @@
           now: Current time in seconds.
         """
         view = self.view(endpoint)
-        fresh = now - view.reported_s <= REPORT_LIFE_S
-        return endpoint.open + (view.others if fresh else fallback)
+        trust = view.trust(now)
+        return endpoint.open + fallback + trust * (view.others - fallback)
 
     def mean_others(self, endpoints: list[Endpoint], now: float) -> float:
         """Return the mean of others' calls over endpoints with fresh reports."""
-        known = [
-            view.others
-            for view in map(self.view, endpoints)
-            if now - view.reported_s <= REPORT_LIFE_S
-        ]
-        return sum(known) / len(known) if known else 0.0
+        known = [(view.trust(now), view.others) for view in map(self.view, endpoints)]
+        total = sum(trust for trust, _ in known)
+        return sum(trust * others for trust, others in known) / total if total else 0.0
 
     def keep(self, keys: set[tuple[str, int]]) -> None:
         """Drop the views of endpoints that are gone."""
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -14,7 +14,9 @@
 import xxhash
 
 from cranberrysail.router.callerconn import CallerConn, CallerFront, CallerRequest
+from cranberrysail.router.clock import now
 from cranberrysail.router.httpstore import HttpStoreClient
+from cranberrysail.router.loadnews import LoadNews, LoadNewsItem
 from cranberrysail.router.recordrelay import RecordRelay
 from cranberrysail.router.store import (
     BaseStore,
@@ -62,11 +64,13 @@
     Attributes:
       records: Encoded records, compressed if that is worth it.
       age_s: Age of the router's own reading of the store.
+      loads: What it knows of endpoints' loads.
     """
 
     records: bytes
     end: int
     age_s: float
+    loads: tuple[LoadNewsItem, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,13 +171,15 @@
 class PeerStore(BaseStore):
     """The store's records as another router has read them."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, news: LoadNews) -> None:
         """Create a client.
 
         Args:
           address: ``ip:port`` at which the router serves its peers.
+          news: What is told to it, and hears from it, of endpoints' loads.
         """
         self._http = HttpStoreClient(address, CONNECT_S)
+        self._news = news
         self._pages = msgspec.msgpack.Decoder(_PeerPage)
 
     async def newest(self, topic: Topic) -> Page:
@@ -184,12 +190,17 @@
         """Return the records from an offset on."""
         wait_s = min(wait_s, WAIT_S)
         target = f"{PATH}?topic={topic.value}&from={start}&wait_ms={wait_s * 1000:.0f}"
-        body = await self._http.call(topic.value, "GET", target, b"", wait_s + ANSWER_S)
+        told = b""
+        if topic is Topic.ENDPOINTS:
+            told = msgspec.msgpack.encode(self._news.told(now()))
+        limit_s = wait_s + ANSWER_S
+        body = await self._http.call(topic.value, "POST", target, told, limit_s)
         try:
             page = self._pages.decode(body)
             records = _unpack(page.records)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise StoreError(f"the peer's answer cannot be read ({exc})") from exc
+        self._news.hear(page.loads, now())
         if page.age_s >= FRESH_S:
             raise StaleError(f"the peer's own reading is {page.age_s:.1f} s old")
         return Page(records, page.end)
@@ -229,6 +240,7 @@
 def peer_front(
     relay: RecordRelay,
     age_s: Callable[[], float],
+    news: LoadNews,
     failed: Callable[[BaseException], None],
 ) -> CallerFront:
     """Return a front that serves recent records to peers.
@@ -236,14 +248,18 @@
     Args:
       relay: The records.
       age_s: Returns the age of this router's own reading of the store.
+      news: What is told and heard of endpoints' loads.
       failed: Called with an error that was not expected.
     """
     packed = _Packer()
+    heard = msgspec.msgpack.Decoder(tuple[LoadNewsItem, ...])
 
     async def serve(request: CallerRequest, conn: CallerConn) -> None:
         try:
             topic, start, wait_s = _asked(request)
-        except (KeyError, ValueError):
+            if request.body:
+                news.hear(heard.decode(request.body), now())
+        except (KeyError, ValueError, msgspec.DecodeError):
             conn.send_whole(400, BINARY, b"topic, from and wait_ms are needed\n")
             return
         try:
@@ -252,7 +268,8 @@
         except StoreGapError:
             conn.send_whole(410, BINARY, b"")
             return
-        answer = _PeerPage(packed(page.records), page.end, age_s())
+        loads = news.told(now()) if topic is Topic.ENDPOINTS else ()
+        answer = _PeerPage(packed(page.records), page.end, age_s(), loads)
         conn.send_whole(200, BINARY, msgspec.msgpack.encode(answer))
 
     def refuse(status: int, reason: str):
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -23,14 +23,36 @@
     Attributes:
       spill_factor: Multiple of the mean at which the next in rank is taken.
       spill_slack: Calls beyond that.
+      crowd_factor: The multiple in a large fleet: the more routers there are, the
+        more calls a home gets between two reports of its load.
+      crowd_slack: Calls beyond that.
+      crowd_from: Routers up to which the first bounds hold.
+      crowd_full: Routers from which on those of a large fleet hold.
       near_calls: Calls by which an endpoint of another zone must be less loaded
         to be taken for a plain call.
     """
 
     spill_factor: float = 1.7
     spill_slack: float = 3.0
+    crowd_factor: float = 1.25
+    crowd_slack: float = 1.5
+    crowd_from: int = 10
+    crowd_full: int = 50
     near_calls: float = 0.5
 
+    def most(self, mean: float, routers: int) -> float:
+        """Return the load at which a home gives way.
+
+        Args:
+          mean: Mean load of its service.
+          routers: Size of the fleet.
+        """
+        crowd = (routers - self.crowd_from) / (self.crowd_full - self.crowd_from)
+        crowd = min(1.0, max(0.0, crowd))
+        factor = self.spill_factor + crowd * (self.crowd_factor - self.spill_factor)
+        slack = self.spill_slack + crowd * (self.crowd_slack - self.spill_slack)
+        return mean * factor + slack
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -64,7 +86,7 @@
     key: str,
     zone: str,
     bound: PlacementBound,
-    mean: float,
+    most: float,
 ) -> Candidate | None:
     """Return the endpoint for a call, or None if there is none.
 
@@ -72,9 +94,8 @@
       candidates: Endpoints that may take it.
       key: What its calls share, or nothing.
       zone: The router's availability zone.
-      bound: When a home gives way.
-      mean: Mean load over all endpoints of the service, also those that may take
-        nothing, since the bound on one endpoint's load is a multiple of it.
+      bound: When another zone is taken for a plain call.
+      most: Load at which a home gives way.
     """
     if not candidates:
         return None
@@ -82,7 +103,6 @@
     if not key:
         return min(sound, key=lambda c: _plain_cost(c, zone, bound))
     ranked = sorted(sound, key=lambda c: _rank(key, c.endpoint.name), reverse=True)
-    most = mean * bound.spill_factor + bound.spill_slack
     for candidate in ranked:
         if candidate.load <= most and candidate.load < candidate.slots:
             return candidate
@@ -90,14 +110,15 @@
 
 
 def cache_source(
-    endpoints: list[Endpoint], key: str, target: Endpoint
+    endpoints: list[Endpoint], key: str, target: Endpoint | None
 ) -> Endpoint | None:
     """Return the endpoint that most likely holds what a call shares.
 
     Args:
       endpoints: Endpoints that can be reached, those that leave included.
       key: What the call shares with others.
-      target: Where the call goes; it fetches what it does not hold itself.
+      target: Where the call goes, which fetches what it does not hold itself; None
+        if that is not known.
     """
     others = [e for e in endpoints if e is not target]
     return max(others, key=lambda e: _rank(key, e.name), default=None)
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -23,6 +23,7 @@
 from cranberrysail.router.exchange import Exchange
 from cranberrysail.router.follower import BaseDecoder, Beliefs, Follower
 from cranberrysail.router.load import LoadBook
+from cranberrysail.router.loadnews import LoadNews
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.peers import PeerBook, peer_front
 from cranberrysail.router.selector import Selector
@@ -71,13 +72,11 @@
         self.beliefs = Beliefs(
             self.endpoints, self.peers, self.log, decoder, self._tables_changed
         )
-        self.follower = Follower(cfg, store, self.beliefs)
+        loads = LoadBook()
+        self.news = LoadNews(loads, self.endpoints)
+        self.follower = Follower(cfg, store, self.beliefs, self.news)
         self.selector = Selector(
-            cfg,
-            self.endpoints,
-            LoadBook(),
-            self.peers,
-            random.Random(),
+            cfg, self.endpoints, loads, self.peers, random.Random()
         )
         self.exchange = Exchange(
             cfg, self.beliefs, self.selector, dialect, self.log, self.metrics
@@ -178,7 +177,12 @@
         follower = self.follower
         await self._listen(
             self.cfg.peers,
-            peer_front(follower.relay, lambda: follower.sources.age_s, self._failed),
+            peer_front(
+                follower.relay,
+                lambda: follower.sources.age_s,
+                self.news,
+                self._failed,
+            ),
         )
         self._spawn(self.front.sweep())
         self._spawn(self._tick())
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -128,8 +128,9 @@
             return Choice(None, RefusalReason.COLD, candidates=len(usable))
         candidates = self._candidates(warm, now)
         key = chain_key(parts) if service.engine_slots else ""
-        mean = self._mean_load(service_name, now)
-        chosen = choose(candidates, key, self.cfg.zone, self.cfg.placement, mean)
+        bound = self.cfg.placement
+        most = bound.most(self._mean_load(service_name, now), len(self.peers))
+        chosen = choose(candidates, key, self.cfg.zone, bound, most)
         work_s = self.work.mean_s(service_name, 0.1)
         wait_s = expected_wait_s(chosen.load, chosen.slots, work_s)
         if wait_s > left_s * self.cfg.admission.wait_share:
@@ -142,7 +143,11 @@
         )
 
     def _mean_load(self, service: str, now: float) -> float:
-        """Return the mean load over all endpoints of a service."""
+        """Return the mean load over all endpoints of a service.
+
+        Also over those that may take nothing, since the bound on one endpoint's load
+        is a multiple of it.
+        """
         endpoints = [e for e in self.endpoints if e.record.service == service]
         others = self.loads.mean_others(endpoints, now)
         loads = [
--- a/cranberrysail/router/sources.py
+++ b/cranberrysail/router/sources.py
@@ -5,6 +5,7 @@
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.loadnews import LoadNews
 from cranberrysail.router.peers import Peer, PeerBook, PeerStore
 from cranberrysail.router.store import (
     BaseStore,
@@ -43,12 +44,14 @@
       store: The store itself.
       book: The other routers.
       log: Where peers that fail are noted.
+      news: What peers tell each other of endpoints' loads.
       store_read_s: When the store itself last answered.
     """
 
     store: BaseStore
     book: PeerBook
     log: DecisionLog
+    news: LoadNews
     store_read_s: float = float("-inf")
     _store_until_s: float = 0.0
     _asked_s: dict[Topic, float] = field(default_factory=dict)
@@ -124,7 +127,9 @@
         shunned = self._shunned.setdefault(peer.address, _Shunned())
         if now() < shunned.until_s:
             return None
-        client = self._peers.setdefault(peer.address, PeerStore(peer.address))
+        client = self._peers.setdefault(
+            peer.address, PeerStore(peer.address, self.news)
+        )
         try:
             page = await client.read(topic, start, wait_s)
         except StaleError:
--- a/tests/benchmark/test_play.py
+++ b/tests/benchmark/test_play.py
@@ -1,5 +1,7 @@
 """Plays are the same for a seed, and policies differ as they should."""
 
+from pathlib import Path
+
 import pytest
 from typer.testing import CliRunner
 
@@ -17,6 +19,7 @@
 from cranberrysail.cli import app
 from cranberrysail.errors import ConfigError
 
+SHEETS = Path(__file__).parents[2] / "bench" / "sheets"
 SHEET = jsonc.parse_model(
     """
     // Small: two engines that a burst loads.
@@ -72,6 +75,17 @@
     assert known <= min(others)
 
 
+def test_in_a_large_fleet_a_hot_prompt_overloads_no_engine():
+    """The users' bound: at most 3 calls in 100 go to an engine over twice the mean."""
+    sheet = jsonc.load_model(SHEETS / "authors-grown.jsonc", Sheet).ok
+    arrivals = draw(sheet, 1.0, 1)
+    over = {}
+    for name in ("as the product", "never spill"):
+        counts = Play(sheet, arrivals, POLICIES.get(name)(), 1).run().counts
+        over[name] = counts["over"] / counts["calls"]
+    assert over["as the product"] < 0.03 < over["never spill"]
+
+
 def test_early_refusals_take_load_off_a_flood():
     flooded, refused = play("as the product", rate=12), play("refuse early", rate=12)
     assert refused.counts["refused full"] > flooded.counts["refused full"]
--- /dev/null
+++ b/tests/router/test_loadnews.py
@@ -0,0 +1,110 @@
+"""Routers tell each other of endpoints' loads; what is older or odd is passed over."""
+
+import asyncio
+
+import msgspec
+
+from cranberrysail.router.endpoints import EndpointDirectory
+from cranberrysail.router.load import REPORT_LIFE_S, LoadBook, LoadReport
+from cranberrysail.router.loadnews import LoadNews, LoadNewsItem
+from cranberrysail.router.model import EndpointRecord
+from tests.router.virtual import play
+from tests.router.world import Caller, World, config, request, stream_answer
+
+
+def book(*names, born=1):
+    directory, loads = EndpointDirectory(), LoadBook()
+    for name in names:
+        record = EndpointRecord(name, born, 1, "s", f"10.0.0.1:{len(name)}", "a", 8)
+        directory.declare(record, 0.0)
+    return directory, loads, LoadNews(loads, directory)
+
+
+def load_of(directory, loads, name, now):
+    return loads.load(directory.get(name), 99.0, now)
+
+
+def test_what_one_router_heard_another_knows():
+    theirs, their_loads, told = book("e0", "e1")
+    their_loads.report(theirs.get("e0"), LoadReport(5, 2, 8), 10.0)
+    directory, loads, news = book("e0", "e1")
+    directory.get("e0").open = 3
+    news.hear(told.told(10.5), 20.0)
+    assert load_of(directory, loads, "e0", 20.0) == 7.0
+    assert load_of(directory, loads, "e1", 20.0) == 99.0
+
+
+def test_news_older_than_what_is_known_changes_nothing():
+    directory, loads, news = book("e0")
+    loads.report(directory.get("e0"), LoadReport(2, 0, 8), 20.0)
+    news.hear((LoadNewsItem("e0", 1, 7, 1500),), 21.0)
+    assert load_of(directory, loads, "e0", 21.0) == 2.0
+
+
+def test_news_of_another_incarnation_or_of_nobody_is_passed_over():
+    directory, loads, news = book("e0", born=2)
+    odd = (LoadNewsItem("e0", 1, 7, 0), LoadNewsItem("gone", 1, 7, 0))
+    news.hear(odd, 20.0)
+    assert load_of(directory, loads, "e0", 20.0) == 99.0
+
+
+def test_what_is_too_old_to_be_of_use_is_not_told():
+    directory, loads, news = book("e0")
+    loads.report(directory.get("e0"), LoadReport(2, 0, 8), 10.0)
+    assert len(news.told(10.0 + REPORT_LIFE_S - 0.1)) == 1
+    assert news.told(10.0 + REPORT_LIFE_S + 0.1) == ()
+
+
+def test_sizes_that_no_router_would_tell_do_no_harm():
+    directory, loads, news = book("e0")
+    news.hear((LoadNewsItem("e0", 1, -5, -10_000),), 20.0)
+    assert load_of(directory, loads, "e0", 20.0) == 0.0
+
+
+def test_routers_of_a_zone_hear_of_a_load_that_only_one_of_them_saw():
+    async def loaded(conn, got):
+        attempt = got.headers["cranberrysail-attempt-id"]
+        extra = (
+            "Cranberrysail-Response-Seal: s\r\nCranberrysail-Server-Load: 40,9,64\r\n"
+        )
+        conn.reply(200, extra, b"data: x\n\n", attempt)
+
+    async def main(loop):
+        world = World(loop)
+        world.publish(config())
+        world.add_worker("e0", "engines", stream_answer, slots=64)
+        names = ("r1", "r2", "r3")
+        for number, name in enumerate(names, 1):
+            await world.start(name=name, host=f"10.0.0.{number}")
+        await asyncio.sleep(4.0)
+        world.workers["e0"].answer = loaded
+        await world.ask(request("/chat/1"))
+        await asyncio.sleep(1.6)
+        loads = []
+        for name in names:
+            router = world.routers[name]
+            view = router.selector.loads.view(router.endpoints.get("e0"))
+            loads.append(view.told)
+        return loads
+
+    assert play(main) == [49, 49, 49]
+
+
+def test_a_peer_that_sends_what_is_no_news_gets_an_error():
+    async def main(loop):
+        world = World(loop)
+        world.publish(config())
+        await world.start(name="r1", host="10.0.0.1")
+        await asyncio.sleep(2.0)
+        port = int(world.routers["r1"].cfg.peers.rpartition(":")[2])
+        answers = []
+        for body in (b"\xc1", msgspec.msgpack.encode([["e0"]])):
+            _, caller = await loop.create_connection(Caller, "10.0.0.1", port)
+            head = "POST /records?topic=endpoints&from=0&wait_ms=0 HTTP/1.1\r\nHost: h"
+            sent = f"{head}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+            caller.transport.write(sent)
+            await caller.answer()
+            answers.append(caller.status)
+        return answers
+
+    assert play(main) == [400, 400]
