--- a/cranberrysail/benchmark/play.py
+++ b/cranberrysail/benchmark/play.py
@@ -251,6 +251,7 @@
                 self._first(engine, work)
         for work in engine.finished():
             self.counts["paused"] += work.gap_s * 1000 > work.kind.gap_ms
+            self._note_pace(engine, work)
             self._left(engine, self.routers[work.router])
         self._push(done_s, engine)
 
@@ -260,21 +261,24 @@
         sample = Sample(work.arrival.at_s, work.kind, first_ms)
         self.samples.append(sample)
         self.counts["late"] += sample.late
-        self._judge(engine, work, first_ms / 1000)
         waiting = len(engine.waiting) + len(engine.reading)
         report = LoadReport(len(engine.running), waiting, self._slots)
         router = self.routers[work.router]
         endpoint = router.endpoints[engine.name]
         router.selector.loads.report(endpoint, report, work.first_s)
 
-    def _judge(self, engine: Engine, work: Work, took_s: float) -> None:
-        """Let the router learn how fast an engine is, as with a real answer."""
-        router = self.routers[work.router]
-        mean_s = router.selector.first.mean_s(work.kind.name, took_s)
-        if self.policy.learns:
-            view = router.selector.loads.view(router.endpoints[engine.name])
-            view.judge(took_s / max(0.001, mean_s), False, work.first_s)
-        router.selector.first.note(work.kind.name, took_s)
+    def _endpoint(self, engine: Engine, work: Work) -> Endpoint:
+        return self.routers[work.router].endpoints[engine.name]
+
+    def _note_pace(self, engine: Engine, work: Work) -> None:
+        """Let the router learn how fast an engine makes tokens."""
+        if not self.policy.learns:
+            return
+        selector = self.routers[work.router].selector
+        view = selector.loads.view(self._endpoint(engine, work))
+        view.heard_s = work.last_s
+        events = work.made // self.sheet.engines.event_tokens
+        selector.note_pace(SERVICE, view, events, work.last_s - work.first_s)
 
     def _left(self, engine: Engine, router: RouterModel) -> None:
         router.endpoints[engine.name].open -= 1
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -15,6 +15,7 @@
 from cranberrysail.router.model import CallKind
 from cranberrysail.router.outcome import Attempt, AttemptResult
 from cranberrysail.router.selector import Choice, Selector
+from cranberrysail.router.sse import EVENT_END
 
 __all__ = ["AttemptRunner"]
 
@@ -241,9 +242,8 @@
         view = self._selector.loads.view(endpoint)
         view.heard_s = now()
         view.pending.pop(number, None)
-        mean_s = self._selector.first.mean_s(call.route.name, took_s)
         failed = status >= 500
-        view.judge(took_s / max(0.001, mean_s), failed, now())
+        view.judge(self._slowness(call, took_s), failed, now())
         if failed:
             return
         self._selector.first.note(call.route.name, took_s)
@@ -254,6 +254,16 @@
         if call.first_s > call.route.target_s:
             self._metrics.count("late", call.route.name)
 
+    def _slowness(self, call: Call, took_s: float) -> float:
+        """Return how long a first answer took over the time expected.
+
+        A stream's first event waits for its prompt to be read, so it says nothing of
+        the engine's speed; the pace of its events does.
+        """
+        if call.route.kind is CallKind.STREAM:
+            return 1.0
+        return took_s / max(0.001, self._selector.first.mean_s(call.route.name, took_s))
+
     async def _relay(
         self,
         call: Call,
@@ -262,16 +272,19 @@
         number: int,
         sent_s: float,
     ) -> Attempt:
-        first = True
+        first_s = 0.0
+        count = 0
         view = self._selector.loads.view(endpoint)
         while data := await conn.read():
-            if first:
-                first = False
+            if not first_s:
+                first_s = now()
                 self._heard(call, endpoint, number, sent_s, conn.status)
             view.heard_s = now()
             events = call.events.feed(data)
             if events:
+                count += events.count(EVENT_END)
                 await self._pass_on(call, conn, events)
+        self._selector.note_pace(call.service, view, count, view.heard_s - first_s)
         if call.events.tail or not call.begun:
             await self._pass_on(call, conn, call.events.tail)
         call.conn.finish()
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -20,6 +20,11 @@
 USUAL_SPREAD = 2.0
 # One answer counts as no slower than this many times the mean.
 MOST_SLOW = 10.0
+# How fast events follow each other is nearly the same for all streams, so one that
+# ran slowly says much, and a smaller difference counts.
+PACE_WEIGHT = 0.5
+PACE_FORGIVE_S = 5.0
+PACE_SPREAD = 1.5
 # Calls that wait for a first byte longer than this count as unanswered.
 SILENT_S = 0.7
 
@@ -49,6 +54,8 @@
       reported_s: When the last report came.
       waiting: Length of its queue at the last report.
       slowness: Average of the time of an answer over the time expected.
+      pace: Average of the time between events over the time expected.
+      paced_s: When a stream's pace was last noted.
       failing: Average share of calls that it failed.
       judged_s: When an answer was last judged.
       pending: Start of each call that has had no byte of its answer, by call.
@@ -60,6 +67,8 @@
     reported_s: float = float("-inf")
     waiting: int = 0
     slowness: float = 1.0
+    pace: float = 1.0
+    paced_s: float = 0.0
     failing: float = 0.0
     judged_s: float = 0.0
     heard_s: float = float("-inf")
@@ -85,6 +94,21 @@
         self.failing *= keep
         self.judged_s = now
 
+    def note_pace(self, ratio: float, now: float) -> None:
+        """Take how fast the events of a stream came.
+
+        Args:
+          ratio: Time between them over the time expected.
+          now: Current time in seconds.
+        """
+        self.pace = self._pace(now)
+        self.pace += PACE_WEIGHT * (min(ratio, MOST_SLOW) - self.pace)
+        self.paced_s = now
+
+    def _pace(self, now: float) -> float:
+        keep = 0.5 ** ((now - self.paced_s) / PACE_FORGIVE_S)
+        return 1.0 + (self.pace - 1.0) * keep
+
     def judge(self, ratio: float, failed: bool, now: float) -> None:
         """Take how an answer came.
 
@@ -105,7 +129,7 @@
         a ratio counts only beyond that.
         """
         self._fade(now)
-        slow = max(1.0, self.slowness / USUAL_SPREAD)
+        slow = max(1.0, self.slowness / USUAL_SPREAD, self._pace(now) / PACE_SPREAD)
         return slow / max(0.1, 1.0 - self.failing)
 
 
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -7,7 +7,7 @@
 from cranberrysail.router.coldlimit import ColdLimiter
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory, EndpointState
-from cranberrysail.router.load import LoadBook
+from cranberrysail.router.load import EndpointView, LoadBook
 from cranberrysail.router.model import Route, RouteTables, Service
 from cranberrysail.router.peers import PeerBook
 from cranberrysail.router.placement import Candidate, cache_source, chain_key, choose
@@ -20,6 +20,8 @@
 SPARE_SHARE = 3
 # Weight of a new sample in the mean time of a route's answers.
 PACE_WEIGHT = 0.1
+# A stream of fewer events says little of its endpoint's pace.
+LEAST_EVENTS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,7 @@
       peers: The routers that are entered in the store.
       work: Mean time that a call takes a slot, by service.
       first: Mean time to the first byte, by route.
+      pace: Mean time between the events of a stream, by service.
     """
 
     cfg: RouterConfig
@@ -75,6 +78,7 @@
     cold: ColdLimiter = field(init=False)
     work: Pace = field(default_factory=Pace)
     first: Pace = field(default_factory=Pace)
+    pace: Pace = field(default_factory=Pace)
 
     def __post_init__(self) -> None:
         self.cold = ColdLimiter(self.cfg.cold)
@@ -92,6 +96,25 @@
             return UNKNOWN_ROUTERS
         return known + -(-known // SPARE_SHARE)
 
+    def note_pace(
+        self, service: str, view: EndpointView, events: int, took_s: float
+    ) -> None:
+        """Learn from a whole stream how fast its endpoint is.
+
+        Args:
+          service: Service of the endpoint.
+          view: This router's view of the endpoint.
+          events: Events that came.
+          took_s: Time from the first to the last.
+        """
+        if events < LEAST_EVENTS:
+            return
+        gap_s = took_s / (events - 1)
+        mean_s = self.pace.mean_s(service, gap_s)
+        if mean_s > 0:
+            view.note_pace(gap_s / mean_s, view.heard_s)
+        self.pace.note(service, gap_s)
+
     def service_for(self, route: Route) -> str:
         """Return a service of the route, by weight."""
         if len(route.shares) == 1:
--- a/tests/router/test_load.py
+++ b/tests/router/test_load.py
@@ -1,5 +1,7 @@
 """What a router makes of reports and answers."""
 
+import pytest
+
 from cranberrysail.router.endpoints import Endpoint, EndpointState
 from cranberrysail.router.load import REPORT_LIFE_S, EndpointView, LoadBook, LoadReport
 from cranberrysail.router.model import EndpointRecord
@@ -49,6 +51,22 @@
     assert view.burden(20.0) == 1.0
 
 
+def test_an_engine_whose_streams_run_slowly_counts_as_loaded():
+    """Found by the load tool: a few streams in seconds must be enough."""
+    view = EndpointView()
+    for at_s in (10.0, 12.0, 14.0):
+        view.note_pace(4.0, at_s)
+    assert view.burden(14.0) > 1.5
+    assert view.burden(40.0) == pytest.approx(1.0, abs=0.1)
+
+
+def test_a_little_slower_is_not_slow():
+    view = EndpointView()
+    for at_s in range(20):
+        view.note_pace(1.4 if at_s % 2 else 0.9, float(at_s))
+    assert view.burden(20.0) == 1.0
+
+
 def test_an_endpoint_that_fails_calls_counts_as_loaded():
     view = EndpointView()
     for number in range(20):
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -395,3 +395,32 @@
 
     statuses = scene(main, engines=8)
     assert statuses.count(200) == 80
+
+
+def test_an_engine_whose_streams_are_slow_gets_fewer_calls():
+    def paced(gap_s):
+        async def answer(conn, got):
+            attempt = got.headers["cranberrysail-attempt-id"]
+            head = f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+            conn.transport.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+            for number in range(12):
+                await asyncio.sleep(gap_s)
+                event = f"id: {number}\ndata: x\n\n".encode()
+                conn.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+            conn.transport.write(b"0\r\n\r\n")
+
+        return answer
+
+    async def main(world):
+        world.workers["e0"].answer = paced(0.1)
+        world.workers["e1"].answer = paced(0.02)
+        async with asyncio.TaskGroup() as group:
+            for number in range(60):
+                data = request(f"/chat/{number}", f"a{number}")
+                group.create_task(world.ask(data))
+                await asyncio.sleep(0.25)
+        return [len(world.workers[name].heard) for name in ("e0", "e1")]
+
+    slow, quick = scene(main)
+    assert slow + quick == 60
+    assert slow < quick / 2
