Move the product's own data path into packages that follow a call

The flat package had passed sixty modules. Moved only: front, decisions, endpoints, links, driven, demo; tests of decisions and front beside them.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,16 +16,11 @@
 import zmq
 
 from bench.workload import SPEED, Shape, hosts, routers, tables
-from cranberrysail.driver import DUMMY_KEYS, Driver
-from cranberrysail.events import HostsRead, ListedHost, PeerArrived, Tick
-from cranberrysail.messages import Ask, Members, MemberUpdate
-from cranberrysail.models import Prompt
-from cranberrysail.node import Node
-from cranberrysail.peers import PeerTransport
-from cranberrysail.settings import PeerKeys, PeerSettings, PlatformSettings, Settings
-from cranberrysail.slots import Slot
-from cranberrysail.tables import Customer
-from cranberrysail.tablestate import (
+from cranberrysail.decisions.events import HostsRead, ListedHost, PeerArrived, Tick
+from cranberrysail.decisions.messages import Ask, Members, MemberUpdate
+from cranberrysail.decisions.node import Node
+from cranberrysail.decisions.slots import Slot
+from cranberrysail.decisions.tablestate import (
     Edit,
     LogRecord,
     RowKind,
@@ -36,7 +31,12 @@
     row_key,
     take_snapshot,
 )
-from cranberrysail.warmth import Warmth
+from cranberrysail.decisions.warmth import Warmth
+from cranberrysail.driven.driver import DUMMY_KEYS, Driver
+from cranberrysail.driven.models import Prompt
+from cranberrysail.links.peers import PeerTransport
+from cranberrysail.settings import PeerKeys, PeerSettings, PlatformSettings, Settings
+from cranberrysail.tables import Customer
 
 PAGE = Path("docs/CAPACITY.md")
 BEGIN = "<!-- table: begin -->"
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 
 from bench.workload import SPEED, Arrival, Shape, arrivals, hosts, routers, tables
-from cranberrysail.driver import CallOutcome, Driver
+from cranberrysail.decisions.tablestate import RowKind
+from cranberrysail.driven.driver import CallOutcome, Driver
 from cranberrysail.errors import NotRunError
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import Idempotency, Route
-from cranberrysail.tablestate import RowKind
 
 SHAPE = Shape()
 WARM_S = 60.0
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -20,11 +20,11 @@
     routers,
     tables,
 )
-from cranberrysail.driver import Driver
-from cranberrysail.events import HostState
+from cranberrysail.decisions.events import HostState
+from cranberrysail.decisions.tablestate import RowKind
+from cranberrysail.driven.driver import Driver
+from cranberrysail.driven.models import EngineModel
 from cranberrysail.hashing import ranked_weighted
-from cranberrysail.models import EngineModel
-from cranberrysail.tablestate import RowKind
 
 SETTLE_S = 60.0
 PHASE_LENGTHS_S = (60.0, 150.0, 60.0, 60.0, 60.0)
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -21,11 +21,13 @@
 from blacksheep.messages import Request, Response
 
 from cranberrysail import logs
-from cranberrysail.events import ListedHost
-from cranberrysail.fleet import CHAT_POOL, FleetPlan, demo_tables
-from cranberrysail.httpserver import HttpServer
-from cranberrysail.operators import OperatorClient
-from cranberrysail.platformlog import HttpLog
+from cranberrysail.decisions.events import ListedHost
+from cranberrysail.demo.fleet import CHAT_POOL, FleetPlan, demo_tables
+from cranberrysail.demo.httpserver import HttpServer
+from cranberrysail.demo.standins import PlatformStandIn
+from cranberrysail.endpoints.upstream import UpstreamRequest, open_call
+from cranberrysail.links.operators import OperatorClient
+from cranberrysail.links.platformlog import HttpLog
 from cranberrysail.process import RouterProcess
 from cranberrysail.settings import (
     CallerSettings,
@@ -35,8 +37,6 @@
     PlatformSettings,
     Settings,
 )
-from cranberrysail.standins import PlatformStandIn
-from cranberrysail.upstream import UpstreamRequest, open_call
 
 TOKEN_S = 0.074
 STREAMS = 333
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -3,9 +3,9 @@
 import random
 from dataclasses import dataclass
 
-from cranberrysail.driver import RouterSpec
-from cranberrysail.events import ListedHost
-from cranberrysail.models import EngineSpeed, Prompt
+from cranberrysail.decisions.events import ListedHost
+from cranberrysail.driven.driver import RouterSpec
+from cranberrysail.driven.models import EngineSpeed, Prompt
 from cranberrysail.tables import Customer, Idempotency, Pool, Route, RouteKind, Tables
 
 __all__ = ["SPEED", "Arrival", "Shape", "arrivals", "hosts", "routers", "tables"]
--- a/cranberrysail/__init__.py
+++ b/cranberrysail/__init__.py
@@ -12,7 +12,7 @@
 
 _HOMES = {
     "CranberryError": "cranberrysail.errors",
-    "Node": "cranberrysail.node",
+    "Node": "cranberrysail.decisions.node",
     "Settings": "cranberrysail.settings",
     "Tables": "cranberrysail.tables",
 }
--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -14,12 +14,12 @@
 from expression import Result
 
 from cranberrysail import __version__, jsonc, logs
+from cranberrysail.decisions.tablestate import RowKind
 from cranberrysail.errors import ConfigError, CranberryError
-from cranberrysail.operators import OperatorClient, Published
-from cranberrysail.platformlog import HttpLog
+from cranberrysail.links.operators import OperatorClient, Published
+from cranberrysail.links.platformlog import HttpLog
 from cranberrysail.settings import Settings
 from cranberrysail.tables import Tables
-from cranberrysail.tablestate import RowKind
 
 __all__ = ["app", "main"]
 
@@ -225,7 +225,7 @@
     trace: Annotated[Path, typer.Argument(help="A recorded trace.")],
 ) -> None:
     """Replay a trace and compare with its stated outcomes."""
-    from cranberrysail.traces import load_trace, replay
+    from cranberrysail.driven.traces import load_trace, replay
 
     result = replay(_or_raise(load_trace(trace)))
     for name, value in sorted(result.readings.items()):
@@ -253,7 +253,7 @@
 @app.command()
 def demo() -> None:
     """Run a small fleet with stand-ins, and check the promises on it."""
-    from cranberrysail.demo import run_demo
+    from cranberrysail.demo.demo import run_demo
 
     logs.configure("ERROR")
     raise typer.Exit(asyncio.run(run_demo()))
--- /dev/null
+++ b/cranberrysail/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""What a node decides, without clock, sockets or hidden randomness."""
--- a/cranberrysail/actions.py
+++ b/cranberrysail/decisions/actions.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from cranberrysail.decisions.messages import Message
 from cranberrysail.errors import CallError
-from cranberrysail.messages import Message
 
 __all__ = [
     "Action",
--- a/cranberrysail/admission.py
+++ b/cranberrysail/decisions/admission.py
@@ -4,25 +4,25 @@
 from enum import StrEnum
 from typing import Any
 
-from cranberrysail.blackboard import Blackboard, PoolTotal
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import (
+from cranberrysail.decisions.blackboard import Blackboard, PoolTotal
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import (
     CallResult,
     HostState,
     Tick,
 )
-from cranberrysail.fairness import gives_way
-from cranberrysail.invariants import Invariant
-from cranberrysail.loads import bound, customer_use, pool_mean, serving_weight
-from cranberrysail.messages import (
+from cranberrysail.decisions.fairness import gives_way
+from cranberrysail.decisions.invariants import Invariant
+from cranberrysail.decisions.loads import bound, customer_use, pool_mean, serving_weight
+from cranberrysail.decisions.messages import (
     Ask,
     Deny,
     Grant,
     Lives,
     Release,
 )
-from cranberrysail.slots import Permit, PermitKey, Slot
-from cranberrysail.warmth import WarmthState
+from cranberrysail.decisions.slots import Permit, PermitKey, Slot
+from cranberrysail.decisions.warmth import WarmthState
 
 __all__ = ["AdmissionController", "DenyReason"]
 
--- a/cranberrysail/blackboard.py
+++ b/cranberrysail/decisions/blackboard.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from cranberrysail.decisions import DecisionRing
-from cranberrysail.events import HostState, ListedHost
+from cranberrysail.decisions.callrecords import DecisionRing
+from cranberrysail.decisions.events import HostState, ListedHost
+from cranberrysail.decisions.invariants import Invariants
+from cranberrysail.decisions.messages import HeldCall, MemberUpdate
+from cranberrysail.decisions.slots import Slot
+from cranberrysail.decisions.tablestate import TableState
 from cranberrysail.hashing import best
-from cranberrysail.invariants import Invariants
-from cranberrysail.messages import HeldCall, MemberUpdate
 from cranberrysail.settings import Settings
-from cranberrysail.slots import Slot
 from cranberrysail.tables import Pool
-from cranberrysail.tablestate import TableState
 
 __all__ = ["Blackboard", "Member", "MemberState", "PoolTotal"]
 
--- a/cranberrysail/callerrors.py
+++ b/cranberrysail/decisions/callerrors.py
@@ -1,9 +1,9 @@
 """The final errors of calls that no endpoint answers."""
 
-from cranberrysail.admission import DenyReason
-from cranberrysail.claims import ClaimVerdict
+from cranberrysail.decisions.admission import DenyReason
+from cranberrysail.decisions.claims import ClaimVerdict
+from cranberrysail.decisions.events import CallResult
 from cranberrysail.errors import CallError, NotRunError, OutcomeUnknownError
-from cranberrysail.events import CallResult
 
 __all__ = [
     "broken",
--- a/cranberrysail/calls.py
+++ b/cranberrysail/decisions/calls.py
@@ -3,10 +3,10 @@
 from collections import Counter, deque
 from typing import Any
 
-from cranberrysail.actions import AnswerRecorded, Dispatch, FailCall
-from cranberrysail.admission import DenyReason
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.callerrors import (
+from cranberrysail.decisions.actions import AnswerRecorded, Dispatch, FailCall
+from cranberrysail.decisions.admission import DenyReason
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.callerrors import (
     broken,
     claim_error,
     may_have_run,
@@ -14,21 +14,20 @@
     not_reached,
     overloaded,
 )
-from cranberrysail.callstate import Asking, CallPhase, CallState, WaitQueue
-from cranberrysail.claims import ClaimVerdict
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.decisions import CallRecord
-from cranberrysail.errors import CallError, NotRunError
-from cranberrysail.events import (
+from cranberrysail.decisions.callrecords import CallRecord
+from cranberrysail.decisions.callstate import Asking, CallPhase, CallState, WaitQueue
+from cranberrysail.decisions.claims import ClaimVerdict
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import (
     CallArrived,
     CallCancelled,
     CallEnded,
     CallResult,
     Tick,
 )
-from cranberrysail.invariants import Invariant
-from cranberrysail.keyclaims import KeyClaims
-from cranberrysail.messages import (
+from cranberrysail.decisions.invariants import Invariant
+from cranberrysail.decisions.keyclaims import KeyClaims
+from cranberrysail.decisions.messages import (
     Ask,
     ClaimReply,
     Deny,
@@ -37,8 +36,9 @@
     Lives,
     Release,
 )
-from cranberrysail.placement import Candidate, candidates
-from cranberrysail.retry import RetryBudget
+from cranberrysail.decisions.placement import Candidate, candidates
+from cranberrysail.decisions.retry import RetryBudget
+from cranberrysail.errors import CallError, NotRunError
 from cranberrysail.tables import Idempotency
 
 __all__ = ["CallsController"]
--- a/cranberrysail/callstate.py
+++ b/cranberrysail/decisions/callstate.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from cranberrysail.events import CallArrived
-from cranberrysail.placement import Candidate
+from cranberrysail.decisions.events import CallArrived
+from cranberrysail.decisions.placement import Candidate
 
 __all__ = ["Asking", "CallPhase", "CallState", "WaitQueue"]
 
--- a/cranberrysail/claimlog.py
+++ b/cranberrysail/decisions/claimlog.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cranberrysail.tablestate import LogRecord
+from cranberrysail.decisions.tablestate import LogRecord
 
 __all__ = [
     "ClaimBatch",
--- a/cranberrysail/claims.py
+++ b/cranberrysail/decisions/claims.py
@@ -6,9 +6,9 @@
 
 import xxhash
 
-from cranberrysail.actions import AppendStream, ReadStream
-from cranberrysail.blackboard import Blackboard, MemberState
-from cranberrysail.claimlog import (
+from cranberrysail.decisions.actions import AppendStream, ReadStream
+from cranberrysail.decisions.blackboard import Blackboard, MemberState
+from cranberrysail.decisions.claimlog import (
     ClaimBatch,
     ClaimDone,
     ClaimEntry,
@@ -18,17 +18,17 @@
     encode_batch,
     find_answer,
 )
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import (
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import (
     AppendDone,
     AppendFailed,
     StreamFailed,
     StreamRead,
     Tick,
 )
+from cranberrysail.decisions.messages import ClaimAsk, ClaimReply, ClaimSettle
+from cranberrysail.decisions.tablestate import LogRecord
 from cranberrysail.hashing import best
-from cranberrysail.messages import ClaimAsk, ClaimReply, ClaimSettle
-from cranberrysail.tablestate import LogRecord
 
 __all__ = ["PARTITIONS", "ClaimVerdict", "ClaimsController", "claims_owner"]
 
--- a/cranberrysail/controller.py
+++ b/cranberrysail/decisions/controller.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from cranberrysail.actions import Action, SendPeer
-from cranberrysail.blackboard import Blackboard, MemberState
-from cranberrysail.events import Event
+from cranberrysail.decisions.actions import Action, SendPeer
+from cranberrysail.decisions.blackboard import Blackboard, MemberState
+from cranberrysail.decisions.events import Event
+from cranberrysail.decisions.messages import Message
 from cranberrysail.handlers import handlers_of, on
-from cranberrysail.messages import Message
 from cranberrysail.registry import Registry
 
 __all__ = ["CONTROLLERS", "BaseController", "on"]
--- a/cranberrysail/drain.py
+++ b/cranberrysail/decisions/drain.py
@@ -2,11 +2,11 @@
 
 from typing import Any
 
-from cranberrysail.actions import Stopped
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import StopRequested, Tick
-from cranberrysail.invariants import Invariant
+from cranberrysail.decisions.actions import Stopped
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import StopRequested, Tick
+from cranberrysail.decisions.invariants import Invariant
 
 __all__ = ["DrainController"]
 
--- a/cranberrysail/events.py
+++ b/cranberrysail/decisions/events.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from cranberrysail.messages import Message
+from cranberrysail.decisions.messages import Message
+from cranberrysail.decisions.tablestate import LogRecord
 from cranberrysail.tables import Route
-from cranberrysail.tablestate import LogRecord
 
 __all__ = [
     "AppendDone",
--- a/cranberrysail/explain.py
+++ b/cranberrysail/decisions/explain.py
@@ -1,6 +1,6 @@
 """Explaining a call in sentences."""
 
-from cranberrysail.decisions import CallRecord
+from cranberrysail.decisions.callrecords import CallRecord
 
 __all__ = ["explain_call"]
 
--- a/cranberrysail/holdings.py
+++ b/cranberrysail/decisions/holdings.py
@@ -1,9 +1,9 @@
 """Telling owners which permits this router holds."""
 
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import MembersChanged, Tick
-from cranberrysail.messages import Holding
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import MembersChanged, Tick
+from cranberrysail.decisions.messages import Holding
 
 __all__ = ["HoldingsController"]
 
--- a/cranberrysail/hostlist.py
+++ b/cranberrysail/decisions/hostlist.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import HostsRead, TablesChanged
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import HostsRead, TablesChanged
 
 __all__ = ["HostListController"]
 
--- a/cranberrysail/keyclaims.py
+++ b/cranberrysail/decisions/keyclaims.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.callstate import CallState
-from cranberrysail.claims import ClaimVerdict, claims_owner
-from cranberrysail.events import CallArrived, CallEnded
-from cranberrysail.messages import ClaimAsk, ClaimReply, ClaimSettle, Message
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.callstate import CallState
+from cranberrysail.decisions.claims import ClaimVerdict, claims_owner
+from cranberrysail.decisions.events import CallArrived, CallEnded
+from cranberrysail.decisions.messages import ClaimAsk, ClaimReply, ClaimSettle, Message
 
 __all__ = ["KeyClaims"]
 
--- a/cranberrysail/loads.py
+++ b/cranberrysail/decisions/loads.py
@@ -3,9 +3,9 @@
 import math
 from dataclasses import dataclass
 
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.messages import PoolSum
-from cranberrysail.slots import Slot
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.messages import PoolSum
+from cranberrysail.decisions.slots import Slot
 
 __all__ = [
     "Mean",
--- a/cranberrysail/membership.py
+++ b/cranberrysail/decisions/membership.py
@@ -4,11 +4,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cranberrysail.actions import SendPeer
-from cranberrysail.blackboard import Blackboard, Member, MemberState
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import MembersChanged, StopRequested, Tick
-from cranberrysail.messages import Ack, Members, MemberUpdate, Ping, PingRequest
+from cranberrysail.decisions.actions import SendPeer
+from cranberrysail.decisions.blackboard import Blackboard, Member, MemberState
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import MembersChanged, StopRequested, Tick
+from cranberrysail.decisions.messages import (
+    Ack,
+    Members,
+    MemberUpdate,
+    Ping,
+    PingRequest,
+)
 
 __all__ = ["MembershipController"]
 
--- a/cranberrysail/messages.py
+++ b/cranberrysail/decisions/messages.py
@@ -3,8 +3,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from cranberrysail.decisions.tablestate import LogRecord
 from cranberrysail.errors import PeerRejectedError
-from cranberrysail.tablestate import LogRecord
 
 __all__ = [
     "Ack",
--- a/cranberrysail/node.py
+++ b/cranberrysail/decisions/node.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from cranberrysail import (
+from cranberrysail.decisions import (
     admission,
     calls,
     claims,
@@ -18,10 +18,10 @@
     sums,
     tablesync,
 )
-from cranberrysail.actions import Action, SendPeer
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.controller import CONTROLLERS, BaseController
-from cranberrysail.events import Event, PeerArrived
+from cranberrysail.decisions.actions import Action, SendPeer
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController
+from cranberrysail.decisions.events import Event, PeerArrived
 from cranberrysail.settings import Settings
 
 __all__ = ["DUMP_VERSION", "Node"]
--- a/cranberrysail/ownership.py
+++ b/cranberrysail/decisions/ownership.py
@@ -3,12 +3,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cranberrysail.blackboard import Blackboard, MemberState
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import HostsRead, MembersChanged, TablesChanged, Tick
-from cranberrysail.messages import Handover, HeldCall, Holding
-from cranberrysail.slots import Permit, PermitKey, Slot
-from cranberrysail.warmth import Warmth
+from cranberrysail.decisions.blackboard import Blackboard, MemberState
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import (
+    HostsRead,
+    MembersChanged,
+    TablesChanged,
+    Tick,
+)
+from cranberrysail.decisions.messages import Handover, HeldCall, Holding
+from cranberrysail.decisions.slots import Permit, PermitKey, Slot
+from cranberrysail.decisions.warmth import Warmth
 
 __all__ = ["OwnershipController"]
 
--- a/cranberrysail/placement.py
+++ b/cranberrysail/decisions/placement.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.events import ListedHost
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.events import ListedHost
 from cranberrysail.hashing import ranked_weighted
 
 __all__ = ["Candidate", "candidates"]
--- a/cranberrysail/probing.py
+++ b/cranberrysail/decisions/probing.py
@@ -1,9 +1,9 @@
 """Probing the endpoints that this router owns, and lapsing their permits."""
 
-from cranberrysail.actions import ProbeEndpoint
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import ProbeAnswered, ProbeFailed, Tick
-from cranberrysail.slots import Slot
+from cranberrysail.decisions.actions import ProbeEndpoint
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import ProbeAnswered, ProbeFailed, Tick
+from cranberrysail.decisions.slots import Slot
 
 __all__ = ["ProbingController"]
 
--- a/cranberrysail/slots.py
+++ b/cranberrysail/decisions/slots.py
@@ -3,9 +3,9 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
-from cranberrysail.events import ListedHost, LoadReport
-from cranberrysail.messages import HeldCall
-from cranberrysail.warmth import Warmth
+from cranberrysail.decisions.events import ListedHost, LoadReport
+from cranberrysail.decisions.messages import HeldCall
+from cranberrysail.decisions.warmth import Warmth
 
 __all__ = ["Permit", "PermitKey", "Slot"]
 
--- a/cranberrysail/sums.py
+++ b/cranberrysail/decisions/sums.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cranberrysail.blackboard import Blackboard, PoolTotal
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import Tick
-from cranberrysail.loads import MAX_HEAVY, fresh_share, own_sums
-from cranberrysail.messages import PoolSum, SumDown, SumUp, SumZone
+from cranberrysail.decisions.blackboard import Blackboard, PoolTotal
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import Tick
+from cranberrysail.decisions.loads import MAX_HEAVY, fresh_share, own_sums
+from cranberrysail.decisions.messages import PoolSum, SumDown, SumUp, SumZone
 
 __all__ = ["SumsController", "merge"]
 
--- a/cranberrysail/tablesync.py
+++ b/cranberrysail/decisions/tablesync.py
@@ -3,14 +3,13 @@
 from collections import deque
 from typing import Any
 
-from cranberrysail.actions import AppendStream, ReadStream
-from cranberrysail.blackboard import Blackboard, MemberState
-from cranberrysail.controller import CONTROLLERS, BaseController, on
-from cranberrysail.events import StreamFailed, StreamRead, TablesChanged, Tick
-from cranberrysail.hashing import rank
-from cranberrysail.invariants import Invariant
-from cranberrysail.messages import Ack, Fetch, Ping, Records
-from cranberrysail.tablestate import (
+from cranberrysail.decisions.actions import AppendStream, ReadStream
+from cranberrysail.decisions.blackboard import Blackboard, MemberState
+from cranberrysail.decisions.controller import CONTROLLERS, BaseController, on
+from cranberrysail.decisions.events import StreamFailed, StreamRead, TablesChanged, Tick
+from cranberrysail.decisions.invariants import Invariant
+from cranberrysail.decisions.messages import Ack, Fetch, Ping, Records
+from cranberrysail.decisions.tablestate import (
     LogRecord,
     Snapshot,
     TableState,
@@ -19,6 +18,7 @@
     encode_record,
     take_snapshot,
 )
+from cranberrysail.hashing import rank
 
 __all__ = ["TABLES_STREAM", "TableSyncController"]
 
--- /dev/null
+++ b/cranberrysail/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet with stand-ins, on loopback."""
--- a/cranberrysail/demo.py
+++ b/cranberrysail/demo/demo.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from cranberrysail.fleet import Fleet, FleetPlan, uuid7
-from cranberrysail.standins import expected_text
-from cranberrysail.tablestate import RowKind
-from cranberrysail.webclient import WebClient
+from cranberrysail.decisions.tablestate import RowKind
+from cranberrysail.demo.fleet import Fleet, FleetPlan, uuid7
+from cranberrysail.demo.standins import expected_text
+from cranberrysail.links.webclient import WebClient
 
 __all__ = ["Caller", "run_demo"]
 
--- a/cranberrysail/fleet.py
+++ b/cranberrysail/demo/fleet.py
@@ -8,9 +8,10 @@
 
 import zmq
 
-from cranberrysail.events import ListedHost
-from cranberrysail.operators import OperatorClient
-from cranberrysail.platformlog import HttpLog
+from cranberrysail.decisions.events import ListedHost
+from cranberrysail.demo.standins import EngineStandIn, PlatformStandIn, ServiceStandIn
+from cranberrysail.links.operators import OperatorClient
+from cranberrysail.links.platformlog import HttpLog
 from cranberrysail.process import RouterProcess
 from cranberrysail.settings import (
     CallerSettings,
@@ -20,7 +21,6 @@
     PlatformSettings,
     Settings,
 )
-from cranberrysail.standins import EngineStandIn, PlatformStandIn, ServiceStandIn
 from cranberrysail.tables import (
     Customer,
     Idempotency,
--- a/cranberrysail/standins.py
+++ b/cranberrysail/demo/standins.py
@@ -12,10 +12,10 @@
 from blacksheep.contents import Content, StreamedContent
 from blacksheep.messages import Request, Response
 
-from cranberrysail.events import HostState, ListedHost, LoadReport
-from cranberrysail.httpserver import HttpServer
-from cranberrysail.platformlog import Appended, MemoryLog
-from cranberrysail.probe import LOAD_PATH
+from cranberrysail.decisions.events import HostState, ListedHost, LoadReport
+from cranberrysail.demo.httpserver import HttpServer
+from cranberrysail.endpoints.probe import LOAD_PATH
+from cranberrysail.links.platformlog import Appended, MemoryLog
 
 __all__ = ["EngineStandIn", "PlatformStandIn", "ServiceStandIn", "expected_text"]
 
--- /dev/null
+++ b/cranberrysail/driven/__init__.py
@@ -0,0 +1,1 @@
+"""Many nodes driven in virtual time, with traces."""
--- a/cranberrysail/driver.py
+++ b/cranberrysail/driven/driver.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from cranberrysail.actions import (
+from cranberrysail.decisions.actions import (
     AnswerRecorded,
     AppendStream,
     Dispatch,
@@ -20,11 +20,7 @@
     SendPeer,
     Stopped,
 )
-from cranberrysail.driverlog import DriverLog
-from cranberrysail.driverstate import CallOutcome, DriverFaults, RouterSpec
-from cranberrysail.drivertruth import DriverTruth
-from cranberrysail.errors import NotRunError
-from cranberrysail.events import (
+from cranberrysail.decisions.events import (
     CallArrived,
     CallEnded,
     CallResult,
@@ -38,12 +34,26 @@
     StopRequested,
     Tick,
 )
+from cranberrysail.decisions.invariants import Invariant, Invariants
+from cranberrysail.decisions.messages import encode
+from cranberrysail.decisions.node import Node
+from cranberrysail.decisions.tablestate import (
+    Edit,
+    RowKind,
+    TableState,
+    changes_between,
+    encode_record,
+    row_content,
+    row_key,
+)
+from cranberrysail.decisions.tablesync import TABLES_STREAM
+from cranberrysail.driven.driverlog import DriverLog
+from cranberrysail.driven.driverstate import CallOutcome, DriverFaults, RouterSpec
+from cranberrysail.driven.drivertruth import DriverTruth
+from cranberrysail.driven.models import COLD_CALLS, EngineModel, EngineSpeed, Prompt
+from cranberrysail.errors import NotRunError
 from cranberrysail.handlers import handlers_of, on
-from cranberrysail.invariants import Invariant, Invariants
-from cranberrysail.messages import encode
-from cranberrysail.models import COLD_CALLS, EngineModel, EngineSpeed, Prompt
-from cranberrysail.node import Node
-from cranberrysail.platformlog import MemoryLog
+from cranberrysail.links.platformlog import MemoryLog
 from cranberrysail.settings import (
     AdmissionSettings,
     LimitSettings,
@@ -53,16 +63,6 @@
     Settings,
 )
 from cranberrysail.tables import Out, Route, Tables
-from cranberrysail.tablestate import (
-    Edit,
-    RowKind,
-    TableState,
-    changes_between,
-    encode_record,
-    row_content,
-    row_key,
-)
-from cranberrysail.tablesync import TABLES_STREAM
 
 __all__ = ["CallOutcome", "Driver", "DriverFaults", "RouterSpec"]
 
--- a/cranberrysail/driverlog.py
+++ b/cranberrysail/driven/driverlog.py
@@ -2,19 +2,19 @@
 
 from typing import TYPE_CHECKING
 
-from cranberrysail.actions import AppendStream, ReadStream
-from cranberrysail.events import (
+from cranberrysail.decisions.actions import AppendStream, ReadStream
+from cranberrysail.decisions.events import (
     AppendDone,
     AppendFailed,
     Event,
     StreamFailed,
     StreamRead,
 )
-from cranberrysail.node import Node
-from cranberrysail.platformlog import MemoryLog
+from cranberrysail.decisions.node import Node
+from cranberrysail.links.platformlog import MemoryLog
 
 if TYPE_CHECKING:
-    from cranberrysail.driver import Driver
+    from cranberrysail.driven.driver import Driver
 
 __all__ = ["DriverLog"]
 
--- a/cranberrysail/driverstate.py
+++ b/cranberrysail/driven/driverstate.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from cranberrysail.decisions.events import CallArrived
+from cranberrysail.driven.models import Prompt
 from cranberrysail.errors import CallError
-from cranberrysail.events import CallArrived
-from cranberrysail.models import Prompt
 
 __all__ = ["CallOutcome", "DriverFaults", "RouterSpec"]
 
--- a/cranberrysail/drivertruth.py
+++ b/cranberrysail/driven/drivertruth.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from cranberrysail.calls import GRANT_LIFE_S
-from cranberrysail.driverstate import CallOutcome
-from cranberrysail.events import HostState
-from cranberrysail.invariants import Invariant, Invariants
-from cranberrysail.models import COLD_CALLS, EngineModel
+from cranberrysail.decisions.calls import GRANT_LIFE_S
+from cranberrysail.decisions.events import HostState
+from cranberrysail.decisions.invariants import Invariant, Invariants
+from cranberrysail.decisions.tablesync import TABLES_STREAM
+from cranberrysail.driven.driverstate import CallOutcome
+from cranberrysail.driven.models import COLD_CALLS, EngineModel
 from cranberrysail.tables import Idempotency
-from cranberrysail.tablesync import TABLES_STREAM
 
 if TYPE_CHECKING:
-    from cranberrysail.driver import Driver
+    from cranberrysail.driven.driver import Driver
 
 __all__ = ["DriverTruth"]
 
--- a/cranberrysail/models.py
+++ b/cranberrysail/driven/models.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from cranberrysail.events import ListedHost, LoadReport
+from cranberrysail.decisions.events import ListedHost, LoadReport
 
 __all__ = ["COLD_CALLS", "EngineModel", "EngineSpeed", "Prompt"]
 
--- a/cranberrysail/traces.py
+++ b/cranberrysail/driven/traces.py
@@ -11,10 +11,11 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from cranberrysail.driver import Driver, RouterSpec
+from cranberrysail.decisions.events import HostState, ListedHost
+from cranberrysail.decisions.tablestate import RowKind
+from cranberrysail.driven.driver import Driver, RouterSpec
+from cranberrysail.driven.models import Prompt
 from cranberrysail.errors import ConfigError
-from cranberrysail.events import HostState, ListedHost
-from cranberrysail.models import Prompt
 from cranberrysail.registry import Registry
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import (
@@ -25,7 +26,6 @@
     RouteKind,
     Tables,
 )
-from cranberrysail.tablestate import RowKind
 
 __all__ = [
     "BOOK",
--- /dev/null
+++ b/cranberrysail/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to endpoints and their load reports."""
--- a/cranberrysail/probe.py
+++ b/cranberrysail/endpoints/probe.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from cranberrysail.decisions.events import LoadReport
+from cranberrysail.endpoints.upstream import UpstreamRequest, open_call
 from cranberrysail.errors import UpstreamError
-from cranberrysail.events import LoadReport
-from cranberrysail.upstream import UpstreamRequest, open_call
 
 __all__ = ["LOAD_PATH", "probe_endpoint"]
 
--- a/cranberrysail/answer.py
+++ b/cranberrysail/front/answer.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from cranberrysail.endpoints.upstream import OUTCOME_HEADER
 from cranberrysail.errors import CallError, UpstreamError
-from cranberrysail.relay import PlainRelay
+from cranberrysail.front.relay import PlainRelay
 from cranberrysail.router.callerconn import CallerConn
-from cranberrysail.upstream import OUTCOME_HEADER
 
 __all__ = ["Answer", "Headers", "deliver", "error_answer", "json_answer", "text_answer"]
 
--- a/cranberrysail/caller.py
+++ b/cranberrysail/front/caller.py
@@ -8,10 +8,10 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from cranberrysail.decisions.tablestate import TableState
 from cranberrysail.errors import NotRunError
 from cranberrysail.hashing import chat_key
 from cranberrysail.tables import Idempotency, Route
-from cranberrysail.tablestate import TableState
 
 __all__ = [
     "Checked",
--- a/cranberrysail/front.py
+++ b/cranberrysail/front/front.py
@@ -9,17 +9,17 @@
 
 from expression import Error, Ok, Result
 
-from cranberrysail import caller
-from cranberrysail.answer import Answer, Headers, deliver, error_answer
-from cranberrysail.blackboard import Blackboard
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.events import CallArrived
+from cranberrysail.endpoints.upstream import UpstreamRequest
 from cranberrysail.errors import CallError, NotRunError, OutcomeUnknownError
-from cranberrysail.events import CallArrived
-from cranberrysail.gateway import Gateway
+from cranberrysail.front import caller
+from cranberrysail.front.answer import Answer, Headers, deliver, error_answer
+from cranberrysail.front.gateway import Gateway
 from cranberrysail.router.callerconn import CallerConn, CallerLeftError, CallerRequest
 from cranberrysail.router.hopbyhop import end_to_end
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import RouteKind
-from cranberrysail.upstream import UpstreamRequest
 
 __all__ = ["Front", "tls_context"]
 
--- a/cranberrysail/gateway.py
+++ b/cranberrysail/front/gateway.py
@@ -5,25 +5,25 @@
 from dataclasses import dataclass, field
 
 from cranberrysail import logs
-from cranberrysail.actions import AnswerRecorded, Dispatch, FailCall
-from cranberrysail.answer import Answer, Headers, error_answer
 from cranberrysail.clock import Clock
-from cranberrysail.errors import UpstreamError
-from cranberrysail.events import (
+from cranberrysail.decisions.actions import AnswerRecorded, Dispatch, FailCall
+from cranberrysail.decisions.events import (
     CallArrived,
     CallCancelled,
     CallEnded,
     CallResult,
     Event,
 )
+from cranberrysail.decisions.invariants import Invariant, Invariants
+from cranberrysail.endpoints.upstream import UpstreamCall, UpstreamRequest, open_call
+from cranberrysail.errors import UpstreamError
+from cranberrysail.front.answer import Answer, Headers, error_answer
+from cranberrysail.front.relay import EventRelay, PlainRelay
 from cranberrysail.handlers import on
-from cranberrysail.invariants import Invariant, Invariants
 from cranberrysail.metrics import Metrics
-from cranberrysail.relay import EventRelay, PlainRelay
 from cranberrysail.router.hopbyhop import end_to_end
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import Idempotency, RouteKind
-from cranberrysail.upstream import UpstreamCall, UpstreamRequest, open_call
 
 __all__ = ["Gateway", "LiveCall"]
 
--- a/cranberrysail/operatorapi.py
+++ b/cranberrysail/front/operatorapi.py
@@ -5,13 +5,19 @@
 from collections.abc import Callable
 from typing import Any
 
-from cranberrysail.answer import Answer, Headers, deliver, json_answer, text_answer
-from cranberrysail.explain import explain_call
+from cranberrysail.decisions.explain import explain_call
+from cranberrysail.decisions.node import Node
+from cranberrysail.decisions.tablestate import encode_record, take_snapshot
+from cranberrysail.front.answer import (
+    Answer,
+    Headers,
+    deliver,
+    json_answer,
+    text_answer,
+)
 from cranberrysail.metrics import Metrics
-from cranberrysail.node import Node
 from cranberrysail.router.callerconn import CallerConn, CallerRequest
 from cranberrysail.settings import OperatorSettings
-from cranberrysail.tablestate import encode_record, take_snapshot
 
 __all__ = ["OperatorApi"]
 
--- a/cranberrysail/relay.py
+++ b/cranberrysail/front/relay.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from cranberrysail.endpoints.upstream import UpstreamCall
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.sse import EVENT_END, last_event_id
-from cranberrysail.upstream import UpstreamCall
 
 __all__ = ["DONE_EVENT", "EventRelay", "PlainRelay"]
 
--- a/cranberrysail/operators.py
+++ b/cranberrysail/links/operators.py
@@ -6,10 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from cranberrysail.errors import CranberryError, LogUnavailableError
-from cranberrysail.platformlog import BaseLog
-from cranberrysail.tables import Out, Tables
-from cranberrysail.tablestate import (
+from cranberrysail.decisions.tablestate import (
     Edit,
     LogRecord,
     RowKind,
@@ -22,7 +19,10 @@
     row_content,
     row_key,
 )
-from cranberrysail.tablesync import TABLES_STREAM
+from cranberrysail.decisions.tablesync import TABLES_STREAM
+from cranberrysail.errors import CranberryError, LogUnavailableError
+from cranberrysail.links.platformlog import BaseLog
+from cranberrysail.tables import Out, Tables
 
 __all__ = ["OperatorClient", "Published", "read_tables"]
 
--- a/cranberrysail/peers.py
+++ b/cranberrysail/links/peers.py
@@ -10,8 +10,9 @@
 import zmq.asyncio
 from zmq.auth.asyncio import AsyncioAuthenticator
 
-from cranberrysail import logs, messages
-from cranberrysail.messages import Message
+from cranberrysail import logs
+from cranberrysail.decisions import messages
+from cranberrysail.decisions.messages import Message
 from cranberrysail.settings import PeerKeys
 
 __all__ = ["PeerTransport"]
--- a/cranberrysail/platformlog.py
+++ b/cranberrysail/links/platformlog.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from cranberrysail.decisions.events import ListedHost
+from cranberrysail.decisions.tablestate import LogRecord
 from cranberrysail.errors import LogUnavailableError, UpstreamError
-from cranberrysail.events import ListedHost
-from cranberrysail.tablestate import LogRecord
-from cranberrysail.webclient import WebClient
+from cranberrysail.links.webclient import WebClient
 
 __all__ = [
     "READ_LIMIT",
--- a/cranberrysail/process.py
+++ b/cranberrysail/process.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from cranberrysail import logs
-from cranberrysail.actions import (
+from cranberrysail.clock import Clock
+from cranberrysail.decisions.actions import (
     Action,
     AppendStream,
     ProbeEndpoint,
@@ -16,9 +17,7 @@
     SendPeer,
     Stopped,
 )
-from cranberrysail.clock import Clock
-from cranberrysail.errors import LogUnavailableError
-from cranberrysail.events import (
+from cranberrysail.decisions.events import (
     AppendDone,
     AppendFailed,
     Event,
@@ -31,16 +30,17 @@
     StreamRead,
     Tick,
 )
-from cranberrysail.front import Front, tls_context
-from cranberrysail.gateway import Gateway
+from cranberrysail.decisions.messages import Message
+from cranberrysail.decisions.node import Node
+from cranberrysail.endpoints.probe import probe_endpoint
+from cranberrysail.errors import LogUnavailableError
+from cranberrysail.front.front import Front, tls_context
+from cranberrysail.front.gateway import Gateway
+from cranberrysail.front.operatorapi import OperatorApi
 from cranberrysail.handlers import handlers_of, on
-from cranberrysail.messages import Message
+from cranberrysail.links.peers import PeerTransport
+from cranberrysail.links.platformlog import HostList, HttpLog
 from cranberrysail.metrics import Metrics
-from cranberrysail.node import Node
-from cranberrysail.operatorapi import OperatorApi
-from cranberrysail.peers import PeerTransport
-from cranberrysail.platformlog import HostList, HttpLog
-from cranberrysail.probe import probe_endpoint
 from cranberrysail.router.callerconn import CallerFront
 from cranberrysail.router.clock import now
 from cranberrysail.router.model import CallerLimits
--- a/tests/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -5,12 +5,19 @@
 
 import pytest
 
-from cranberrysail.driver import Driver
-from cranberrysail.events import HostState, PeerArrived, ProbeAnswered
-from cranberrysail.loads import Mean, bound
-from cranberrysail.messages import Ask, Deny, Grant, Handover, HeldCall, Release
-from cranberrysail.models import Prompt
-from cranberrysail.warmth import WarmthState
+from cranberrysail.decisions.events import HostState, PeerArrived, ProbeAnswered
+from cranberrysail.decisions.loads import Mean, bound
+from cranberrysail.decisions.messages import (
+    Ask,
+    Deny,
+    Grant,
+    Handover,
+    HeldCall,
+    Release,
+)
+from cranberrysail.decisions.warmth import WarmthState
+from cranberrysail.driven.driver import Driver
+from cranberrysail.driven.models import Prompt
 from tests.support import (
     CHAT,
     SPEED,
--- a/tests/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -1,6 +1,6 @@
 """Which customer gives way."""
 
-from cranberrysail.fairness import gives_way
+from cranberrysail.decisions.fairness import gives_way
 
 
 def test_the_one_that_uses_more_gives_way():
--- a/tests/test_tablestate.py
+++ b/tests/decisions/test_tablestate.py
@@ -3,9 +3,7 @@
 import msgspec
 import pytest
 
-from cranberrysail.errors import ConflictError, EditRejectedError
-from cranberrysail.tables import Out, Pool
-from cranberrysail.tablestate import (
+from cranberrysail.decisions.tablestate import (
     Edit,
     LogRecord,
     RowKind,
@@ -17,6 +15,8 @@
     row_key,
     take_snapshot,
 )
+from cranberrysail.errors import ConflictError, EditRejectedError
+from cranberrysail.tables import Out, Pool
 from tests.support import make_tables
 
 
--- a/tests/test_warmth.py
+++ b/tests/decisions/test_warmth.py
@@ -1,6 +1,6 @@
 """The state machine of an endpoint."""
 
-from cranberrysail.warmth import Warmth, WarmthState
+from cranberrysail.decisions.warmth import Warmth, WarmthState
 
 
 def heard(open_calls=0):
--- a/tests/test_caller.py
+++ b/tests/front/test_caller.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from cranberrysail import caller
-from cranberrysail.fleet import uuid7
+from cranberrysail.decisions.tablestate import TableState
+from cranberrysail.demo.fleet import uuid7
+from cranberrysail.front import caller
 from cranberrysail.tables import Customer, Route
-from cranberrysail.tablestate import TableState
 from tests.support import BOOK, CHAT
 
 KEY = "guide:s3cret"
--- a/tests/test_front.py
+++ b/tests/front/test_front.py
@@ -8,14 +8,14 @@
 import msgspec
 import pytest
 
-from cranberrysail.answer import Answer
+from cranberrysail.decisions.tablestate import TableState
 from cranberrysail.errors import UpstreamError
-from cranberrysail.front import Front
+from cranberrysail.front.answer import Answer
+from cranberrysail.front.front import Front
 from cranberrysail.router.callerconn import CallerFront
 from cranberrysail.router.model import CallerLimits
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import Customer, Route
-from cranberrysail.tablestate import TableState
 from tests.router.virtual import play
 from tests.router.world import Caller
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,9 +9,11 @@
     rule,
 )
 
-from cranberrysail.driver import CallOutcome, Driver, RouterSpec
-from cranberrysail.events import HostState, ListedHost
-from cranberrysail.models import EngineSpeed, Prompt
+from cranberrysail.decisions.events import HostState, ListedHost
+from cranberrysail.decisions.tablestate import RowKind, row_content, row_key
+from cranberrysail.driven.driver import CallOutcome, Driver, RouterSpec
+from cranberrysail.driven.models import EngineSpeed, Prompt
+from cranberrysail.driven.traces import BOOK, CHAT
 from cranberrysail.settings import LimitSettings
 from cranberrysail.tables import (
     Customer,
@@ -21,8 +23,6 @@
     Route,
     Tables,
 )
-from cranberrysail.tablestate import RowKind, row_content, row_key
-from cranberrysail.traces import BOOK, CHAT
 
 ZONES = ("bosco-nord", "vulcano", "colline")
 LOOK = Route(prefix="/look", pool="services", idempotency=Idempotency.ONCE)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -2,17 +2,17 @@
 
 import pytest
 
-from cranberrysail import admission, calls, claimlog
-from cranberrysail.actions import Stopped
-from cranberrysail.blackboard import Blackboard
-from cranberrysail.drain import DrainController
+from cranberrysail.decisions import admission, calls, claimlog
+from cranberrysail.decisions.actions import Stopped
+from cranberrysail.decisions.blackboard import Blackboard
+from cranberrysail.decisions.drain import DrainController
+from cranberrysail.decisions.events import CallEnded, CallResult, HostState
+from cranberrysail.decisions.invariants import Invariant, Invariants
+from cranberrysail.decisions.tablestate import RowKind, TableState
+from cranberrysail.decisions.tablesync import TableSyncController
+from cranberrysail.decisions.warmth import Warmth
+from cranberrysail.driven.models import Prompt
 from cranberrysail.errors import NotRunError
-from cranberrysail.events import CallEnded, CallResult, HostState
-from cranberrysail.invariants import Invariant, Invariants
-from cranberrysail.models import Prompt
-from cranberrysail.tablestate import RowKind, TableState
-from cranberrysail.tablesync import TableSyncController
-from cranberrysail.warmth import Warmth
 from tests.support import CHAT, ZONES, book, chat, make_driver
 
 SEED = 11
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,11 +10,11 @@
 import pytest
 import zmq
 
-from cranberrysail.demo import Caller, text_of
-from cranberrysail.fleet import BOOKING_POOL, CHAT_POOL, Fleet, FleetPlan, uuid7
+from cranberrysail.decisions.tablestate import RowKind
+from cranberrysail.demo.demo import Caller, text_of
+from cranberrysail.demo.fleet import BOOKING_POOL, CHAT_POOL, Fleet, FleetPlan, uuid7
+from cranberrysail.demo.standins import expected_text
 from cranberrysail.settings import PeerKeys
-from cranberrysail.standins import expected_text
-from cranberrysail.tablestate import RowKind
 
 PLAN = FleetPlan(routers_per_zone=1, engines_per_zone=2)
 KEY = {"authorization": "Bearer guide:secret"}
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cranberrysail.events import HostState
+from cranberrysail.decisions.events import HostState
 from tests.support import FleetMachine
 
 SEQUENCES = sorted((Path(__file__).parent / "sequences").glob("*.txt"))
