A rejected request after a HEAD gets its whole answer; clearer names for reported loads

Found in reading: the mark that an answer has no body outlived its request, so the body of a 400 was left out though its length was told.

--- a/cranberrysail/router/callerconn.py
+++ b/cranberrysail/router/callerconn.py
@@ -324,6 +324,7 @@
         """Answer what is no proper request; those before it are cut off last."""
         if self._task is None and not self._queue:
             headers, body = self._front.refuse(status, reason)
+            self._no_body = False
             self.last_answer = True
             self.send_whole(status, headers, body)
             self._linger()
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -49,7 +49,7 @@
     """This router's view of one incarnation of an endpoint.
 
     Attributes:
-      told: Open calls of all routers at the last report.
+      reported: Open calls of all routers at the last report.
       others: Those of other routers.
       reported_s: When the last report came.
       waiting: Length of its queue at the last report.
@@ -62,7 +62,7 @@
       heard_s: When the last byte came from it.
     """
 
-    told: int = 0
+    reported: int = 0
     others: float = 0.0
     reported_s: float = float("-inf")
     waiting: int = 0
@@ -149,9 +149,9 @@
     def report(self, endpoint: Endpoint, report: LoadReport, now: float) -> None:
         """Take a report; what this router has open there is not others' load."""
         self.view(endpoint).waiting = report.waiting
-        self.told(endpoint, report.running + report.waiting, now)
+        self.note_load(endpoint, report.running + report.waiting, now)
 
-    def told(self, endpoint: Endpoint, load: int, at_s: float) -> None:
+    def note_load(self, endpoint: Endpoint, load: int, at_s: float) -> None:
         """Take the open calls that an endpoint had, unless a newer count is known.
 
         Args:
@@ -162,7 +162,7 @@
         view = self.view(endpoint)
         if at_s <= view.reported_s:
             return
-        view.told = load
+        view.reported = load
         view.others = max(0, load - endpoint.open)
         view.reported_s = at_s
 
--- a/cranberrysail/router/loadnews.py
+++ b/cranberrysail/router/loadnews.py
@@ -52,7 +52,7 @@
             if age_s > REPORT_LIFE_S:
                 continue
             name, born = endpoint.key
-            items.append(LoadNewsItem(name, born, view.told, round(age_s * 1000)))
+            items.append(LoadNewsItem(name, born, view.reported, round(age_s * 1000)))
         return tuple(items)
 
     def hear(self, items: tuple[LoadNewsItem, ...], now: float) -> None:
@@ -62,4 +62,4 @@
             if endpoint is None or endpoint.key != (item.name, item.born):
                 continue
             heard_s = now - max(0, item.age_ms) / 1000
-            self._loads.told(endpoint, max(0, item.load), heard_s)
+            self._loads.note_load(endpoint, max(0, item.load), heard_s)
--- a/tests/front/test_front.py
+++ b/tests/front/test_front.py
@@ -133,6 +133,20 @@
     assert rest == b""
 
 
+def test_after_a_head_request_a_rejected_one_gets_its_whole_answer():
+    async def scene(loop, gateway):
+        caller = await connect(loop)
+        for data in (get("/look/1", "HEAD"), b"nonsense\r\n\r\n"):
+            caller.transport.write(data)
+            await asyncio.sleep(0.5)
+        return caller.data
+
+    first, second, body = serve(plain, scene).split(b"\r\n\r\n")
+    assert first.startswith(b"HTTP/1.1 200")
+    assert b"HTTP/1.1 400" in second
+    assert msgspec.json.decode(body)["error"]["code"] == "bad_request"
+
+
 def test_an_answer_without_content_names_no_length():
     caller, _ = ask(lambda r: Answer(204), get("/look/1"))
     assert caller.status == 204
--- a/tests/router/test_loadnews.py
+++ b/tests/router/test_loadnews.py
@@ -84,7 +84,7 @@
         for name in names:
             router = world.routers[name]
             view = router.selector.loads.view(router.endpoints.get("e0"))
-            loads.append(view.told)
+            loads.append(view.reported)
         return loads
 
     assert play(main) == [49, 49, 49]
