--- a/bench/journal.py
+++ b/bench/journal.py
@@ -56,12 +56,16 @@
 
 
 def worths(entries: dict[str, dict]) -> str:
-    """Return a table of worth, a day a line and an entry a column."""
+    """Return a table of worth, a day a line and an entry a column.
+
+    A day that an entry does not have is left empty.
+    """
+    marks = {d["name"]: d["top"] for e in entries.values() for d in standard(e)}
+    found = [{day["name"]: day for day in standard(e)} for e in entries.values()]
     lines = [["day", "mark", *entries]]
-    for number, day in enumerate(standard(next(iter(entries.values())))):
-        row = [day["name"], f"{day['top']:.3f}"]
-        row += [f"{standard(e)[number]['G']:.3f}" for e in entries.values()]
-        lines.append(row)
+    for name, mark in marks.items():
+        told = [f"{days[name]['G']:.3f}" if name in days else "" for days in found]
+        lines.append([name, f"{mark:.3f}", *told])
     return as_table(lines)
 
 
--- a/cranberrysail/benchmark/policy.py
+++ b/cranberrysail/benchmark/policy.py
@@ -7,7 +7,7 @@
 from cranberrysail.benchmark.arrivals import Arrival
 from cranberrysail.benchmark.sheet import CallSheet
 from cranberrysail.registry import Registry
-from cranberrysail.router.admission import AdmissionBound
+from cranberrysail.router.admission import AdmissionBound, RefusalReason
 from cranberrysail.router.placement import PlacementBound, cache_source
 from cranberrysail.router.selector import Choice
 
@@ -181,11 +181,40 @@
     engine: str
 
 
-@POLICIES.register("come back at once")
-class EarlyReturnPolicy(ProductPolicy):
-    """A refused caller returns after a twentieth of a second."""
+@POLICIES.register("refuse the late")
+class RefuseLatePolicy(ProductPolicy):
+    """A call whose first token would be late is refused, from what truly is.
 
-    admission = AdmissionBound(wait_share=0.1, least_retry_s=0.05, most_retry_s=0.05)
+    Callers return when the engine has read what waits.
+    """
+
+    def choose(
+        self,
+        play: "Play",
+        router: "RouterModel",
+        kind: CallSheet,
+        arrival: Arrival,
+        left_s: float,
+    ) -> Choice:
+        """Return the product's choice, or a refusal until there is room."""
+        choice = super().choose(play, router, kind, arrival, left_s)
+        if choice.endpoint is None:
+            return choice
+        engine = play.engines[choice.endpoint.name]
+        prompt = f"{kind.name}-{arrival.subject}"
+        shared = 0 if prompt in engine.kept else arrival.shared
+        ahead_ms = engine.unread_tokens / play.sheet.engines.read_tokens_a_ms
+        own_ms = (shared + arrival.own) / play.sheet.engines.read_tokens_a_ms
+        if ahead_ms + own_ms <= kind.aim_ms or own_ms > kind.aim_ms:
+            return choice
+        return Choice(None, RefusalReason.FULL, backlog_s=ahead_ms / 1000)
+
+
+@POLICIES.register("and back at once")
+class RefuseLateReturnSoonPolicy(RefuseLatePolicy):
+    """As before, but callers return after a twentieth of a second."""
+
+    admission = AdmissionBound(least_retry_s=0.05, most_retry_s=0.05)
 
 
 @POLICIES.register("two homes")
