--- a/cranberrysail/benchmark/play.py
+++ b/cranberrysail/benchmark/play.py
@@ -7,7 +7,7 @@
 
 from cranberrysail.benchmark.arrivals import Arrival
 from cranberrysail.benchmark.engine import Engine, Work
-from cranberrysail.benchmark.policy import BasePolicy
+from cranberrysail.benchmark.policy import Asked, BasePolicy
 from cranberrysail.benchmark.sheet import CallSheet, Sheet
 from cranberrysail.router.admission import retry_after_s
 from cranberrysail.router.config import RouterConfig
@@ -175,7 +175,7 @@
     def _place(self, arrival: Arrival, router: RouterModel) -> None:
         kind = self.sheet.kind(arrival.kind)
         left_s = arrival.at_s + kind.left_s - self.now
-        choice = self.policy.choose(self, router, kind, arrival, left_s)
+        choice = self.policy.choose(Asked(self, router, kind, arrival, left_s))
         if choice.endpoint is None:
             self._refused(arrival, kind, choice)
             return
--- a/cranberrysail/benchmark/policy.py
+++ b/cranberrysail/benchmark/policy.py
@@ -14,11 +14,33 @@
 if TYPE_CHECKING:
     from cranberrysail.benchmark.play import Play, RouterModel
 
-__all__ = ["POLICIES", "BasePolicy"]
+__all__ = ["POLICIES", "Asked", "BasePolicy"]
 
 NEVER_SPILL = 1e9
 
 
+@dataclass(frozen=True)
+class Asked:
+    """A call that is to be placed.
+
+    Attributes:
+      play: The play, with its time and its engines.
+      router: The router that the call came to.
+      left_s: Time that its caller has left.
+    """
+
+    play: "Play"
+    router: "RouterModel"
+    kind: CallSheet
+    arrival: Arrival
+    left_s: float
+
+    @property
+    def prompt(self) -> str:
+        """Return the name of what it shares with others."""
+        return f"{self.kind.name}-{self.arrival.subject}"
+
+
 class BasePolicy(ABC):
     """Places calls, and says how urgent they are at the engine.
 
@@ -40,22 +62,11 @@
     entry_calls = 0
 
     @abstractmethod
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return where a call goes.
 
         Args:
-          play: The play, with its time and its engines.
-          router: The router that the call came to.
-          kind: What kind of call it is.
-          arrival: The call.
-          left_s: Time that its caller has left.
+          asked: The call, and the router that it came to.
         """
 
     def urgency(self, kind: CallSheet) -> int:
@@ -70,17 +81,12 @@
 class ProductPolicy(BasePolicy):
     """The router's own decisions."""
 
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return what the router's selector chooses."""
-        parts = (f"{kind.name}-{arrival.subject}", "own")
-        return router.choose(play.tables, parts, left_s, play.now)
+        parts = (asked.prompt, "own")
+        return asked.router.choose(
+            asked.play.tables, parts, asked.left_s, asked.play.now
+        )
 
 
 @POLICIES.register("least loaded")
@@ -89,16 +95,9 @@
 
     fetches = False
 
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return the least loaded engine that the router knows."""
-        return router.choose(play.tables, (), left_s, play.now)
+        return asked.router.choose(asked.play.tables, (), asked.left_s, asked.play.now)
 
 
 @POLICIES.register("without fetching")
@@ -188,24 +187,19 @@
     Callers return when the engine has read what waits.
     """
 
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return the product's choice, or a refusal until there is room."""
-        choice = super().choose(play, router, kind, arrival, left_s)
+        choice = super().choose(asked)
         if choice.endpoint is None:
             return choice
-        engine = play.engines[choice.endpoint.name]
-        prompt = f"{kind.name}-{arrival.subject}"
-        shared = 0 if prompt in engine.kept else arrival.shared
-        ahead_ms = engine.unread_tokens / play.sheet.engines.read_tokens_a_ms
-        own_ms = (shared + arrival.own) / play.sheet.engines.read_tokens_a_ms
-        if ahead_ms + own_ms <= kind.aim_ms or own_ms > kind.aim_ms:
+        engine = asked.play.engines[choice.endpoint.name]
+        prompt = asked.prompt
+        shared = 0 if prompt in engine.kept else asked.arrival.shared
+        ahead_ms = engine.unread_tokens / asked.play.sheet.engines.read_tokens_a_ms
+        own_ms = (
+            shared + asked.arrival.own
+        ) / asked.play.sheet.engines.read_tokens_a_ms
+        if ahead_ms + own_ms <= asked.kind.aim_ms or own_ms > asked.kind.aim_ms:
             return choice
         return Choice(None, RefusalReason.FULL, backlog_s=ahead_ms / 1000)
 
@@ -221,24 +215,17 @@
 class TwoHomesPolicy(BasePolicy):
     """The less loaded of the first two engines of a prompt's order."""
 
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return the less loaded of two."""
-        prompt = f"{kind.name}-{arrival.subject}"
-        left = list(router.endpoints.values())
+        prompt = asked.prompt
+        left = list(asked.router.endpoints.values())
         homes = []
         for _ in range(min(2, len(left))):
             homes.append(cache_source(left, prompt, None))
             left.remove(homes[-1])
-        loads = router.selector.loads
-        others = loads.mean_others(homes, play.now)
-        best = min(homes, key=lambda e: loads.load(e, others, play.now))
+        loads = asked.router.selector.loads
+        others = loads.mean_others(homes, asked.play.now)
+        best = min(homes, key=lambda e: loads.load(e, others, asked.play.now))
         source = next((e for e in homes if e is not best), None)
         return Choice(best, cache_source=source)
 
@@ -247,27 +234,20 @@
 class SoonestBelievedPolicy(BasePolicy):
     """The soonest first token, from what the router itself has sent and heard."""
 
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return the engine that would answer first as far as is known."""
-        prompt = f"{kind.name}-{arrival.subject}"
-        ends = list(router.endpoints.values())
+        prompt = asked.prompt
+        ends = list(asked.router.endpoints.values())
         home = cache_source(ends, prompt, None)
-        loads, sheet = router.selector.loads, play.sheet
-        others = loads.mean_others(ends, play.now)
+        loads, sheet = asked.router.selector.loads, asked.play.sheet
+        others = loads.mean_others(ends, asked.play.now)
         own = sum(c.rate * c.own for c in sheet.calls)
         own /= sum(c.rate for c in sheet.calls)
-        away = arrival.shared * sheet.engines.fetch_share
+        away = asked.arrival.shared * sheet.engines.fetch_share
         best = min(
             ends,
             key=lambda e: (
-                loads.load(e, others, play.now) * own + away * (e is not home)
+                loads.load(e, others, asked.play.now) * own + away * (e is not home)
             ),
         )
         return Choice(best, cache_source=home if best is not home else None)
@@ -277,25 +257,22 @@
 class AllKnowingPolicy(BasePolicy):
     """The engine with the soonest first token, from what truly is: the limit."""
 
-    def choose(
-        self,
-        play: "Play",
-        router: "RouterModel",
-        kind: CallSheet,
-        arrival: Arrival,
-        left_s: float,
-    ) -> Choice:
+    def choose(self, asked: Asked) -> Choice:
         """Return the engine that would answer first."""
-        prompt = f"{kind.name}-{arrival.subject}"
-        sheet = play.sheet.engines
-        holds = any(prompt in engine.kept for engine in play.engines.values())
+        prompt = asked.prompt
+        sheet = asked.play.sheet.engines
+        holds = any(prompt in engine.kept for engine in asked.play.engines.values())
         forecasts = []
-        for name, engine in play.engines.items():
+        for name, engine in asked.play.engines.items():
             cost = sheet.fetch_share if holds else 1.0
-            shared = 0.0 if prompt in engine.kept else arrival.shared * cost
-            tokens = engine.unread_tokens + shared + arrival.own
+            shared = 0.0 if prompt in engine.kept else asked.arrival.shared * cost
+            tokens = engine.unread_tokens + shared + asked.arrival.own
             full = max(0, engine.load + 1 - sheet.slots) * sheet.step_ms * 10
             forecasts.append(_Forecast(tokens / sheet.read_tokens_a_ms + full, name))
-        best = router.endpoints[min(forecasts, key=lambda f: f.wait_ms).engine]
-        others = [e for e in router.endpoints.values() if prompt in play.kept_at(e)]
+        best = asked.router.endpoints[min(forecasts, key=lambda f: f.wait_ms).engine]
+        others = [
+            e
+            for e in asked.router.endpoints.values()
+            if prompt in asked.play.kept_at(e)
+        ]
         return Choice(best, cache_source=cache_source(others, prompt, best))
