A page says itself whether it is whole; one score and one loop in place of twins

Read again: whether a list is whole was passed beside the page that says so, the rendezvous score stood in peers and in placement, the loop that reads a body stood again in the store's client for its stall, and the length of an endpoint's queue was kept for nobody. No change of behaviour.

--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -111,7 +111,7 @@
                 records.append((item.key, _value(item)))
                 after = item.key
             if not page.has_more or not page.items:
-                return Page(tuple(records), end)
+                return Page(tuple(records), end, whole=True)
 
     def _page(self, body: bytes) -> _Newest:
         try:
--- a/cranberrysail/router/callerconn.py
+++ b/cranberrysail/router/callerconn.py
@@ -229,9 +229,7 @@
                 return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "bad_request")
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400, "bad_request")
 
     def on_message_begin(self) -> None:
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -107,28 +107,27 @@
         """Return whether tables and endpoints are known."""
         return self.tables is not None and Topic.ENDPOINTS in self.known
 
-    def apply(self, topic: Topic, page: Page, whole: bool) -> None:
+    def apply(self, topic: Topic, page: Page) -> None:
         """Take a page of records.
 
         Args:
           topic: Where they were read.
           page: The records.
-          whole: True if they are all that the topic holds.
         """
         if topic is Topic.OPERATORS:
-            self._operators(page, whole)
+            self._operators(page)
         elif topic is Topic.ENDPOINTS:
-            self._endpoints(page, whole)
+            self._endpoints(page)
         else:
-            self._routers(page, whole)
-        if whole:
+            self._routers(page)
+        if page.whole:
             self.known.add(topic)
 
-    def _routers(self, page: Page, whole: bool) -> None:
-        for key in self.peers.apply(page, whole):
+    def _routers(self, page: Page) -> None:
+        for key in self.peers.apply(page):
             self.log.write("router_entry_rejected", key=key[:64])
 
-    def _operators(self, page: Page, whole: bool) -> None:
+    def _operators(self, page: Page) -> None:
         newest = dict(page.records)
         for key, value in newest.items():
             if self.decoder.is_tables(key) and value is not None:
@@ -138,7 +137,7 @@
             for key, value in newest.items()
             if (zone := self.decoder.zone_out(key)) is not None
         }
-        if whole:
+        if page.whole:
             for zone in self.endpoints.zones_out - zones.keys():
                 zones[zone] = False
         for zone, out in zones.items():
@@ -169,7 +168,7 @@
         if changed:
             self.log.write("zone_changed", zone=zone, out=out)
 
-    def _endpoints(self, page: Page, whole: bool) -> None:
+    def _endpoints(self, page: Page) -> None:
         time_s = now()
         for key, value in page.records:
             if value is None:
@@ -181,7 +180,7 @@
                 self.log.write("declaration_rejected", key=key[:64], why=str(exc))
                 continue
             self.endpoints.declare(record, time_s)
-        if whole:
+        if page.whole:
             names = [key for key, value in page.records if value is not None]
             self.endpoints.keep_only(names, time_s)
 
@@ -262,16 +261,15 @@
             self._reading = None
 
     async def _step(self) -> None:
-        whole = self._offset is None
-        if whole:
+        if self._offset is None:
             page = await self._sources.newest(self._topic, self._known)
         else:
             page = await self._sources.read(self._topic, self._offset, self._wait_s)
-        if whole or page.whole:
+        if page.whole:
             self._relay.restart(self._topic, page)
         else:
             self._relay.extend(self._topic, self._offset, page)
-        self._beliefs.apply(self._topic, page, whole or page.whole)
+        self._beliefs.apply(self._topic, page)
         self._offset = self._known = page.end
         self.read_s = now()
         if sum(len(value or b"") for _, value in page.records) > LARGE_BYTES:
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -250,15 +250,21 @@
             self._transport.resume_reading()
         return data
 
-    async def read_up_to(self, limit: int) -> bytes:
+    async def read_up_to(self, limit: int, stall_s: float | None = None) -> bytes:
         """Return the body as far as the limit; ``complete`` tells if it is whole.
 
+        Args:
+          limit: Bytes after which no more is read.
+          stall_s: Longest time between its parts, None for any.
+
         Raises:
           UpstreamError: If the connection ends before the body does.
+          TimeoutError: If the body stops for longer.
         """
         parts = bytearray()
         while len(parts) <= limit:
-            data = await self.read()
+            async with asyncio.timeout(stall_s):
+                data = await self.read()
             if not data:
                 break
             parts += data
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -84,19 +84,13 @@
         return conn
 
     async def _answer(self, conn: HttpClientConn) -> bytes:
-        parts = bytearray()
-        while len(parts) <= MOST_BYTES:
-            async with asyncio.timeout(STALL_S):
-                data = await conn.read()
-            if not data:
-                break
-            parts += data
+        answer = await conn.read_up_to(MOST_BYTES, STALL_S)
         conn.rest()
         if conn.status == GAP:
             raise StoreGapError("the records asked for were dropped; list them anew")
         if conn.status != 200:
             raise StoreError(f"the answer was {conn.status}; try again later")
-        return bytes(parts)
+        return answer
 
     def close(self) -> None:
         """Close all connections."""
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -52,7 +52,6 @@
       reported: Open calls of all routers at the last report.
       others: Those of other routers.
       reported_s: When the last report came.
-      waiting: Length of its queue at the last report.
       slowness: Average of the time of an answer over the time expected.
       pace: Average of the time between events over the time expected.
       paced_s: When a stream's pace was last noted.
@@ -65,7 +64,6 @@
     reported: int = 0
     others: float = 0.0
     reported_s: float = float("-inf")
-    waiting: int = 0
     slowness: float = 1.0
     pace: float = 1.0
     paced_s: float = 0.0
@@ -148,7 +146,6 @@
 
     def report(self, endpoint: Endpoint, report: LoadReport, now: float) -> None:
         """Take a report; what this router has open there is not others' load."""
-        self.view(endpoint).waiting = report.waiting
         self.note_load(endpoint, report.running + report.waiting, now)
 
     def note_load(self, endpoint: Endpoint, load: int, at_s: float) -> None:
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -87,7 +87,7 @@
         await self._fail()
         newest = dict(self._contents.records[topic])
         records = tuple((k, v) for k, v in newest.items() if v is not None)
-        return Page(records, len(self._contents.records[topic]))
+        return Page(records, len(self._contents.records[topic]), whole=True)
 
     async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
         """Return the records from an offset on."""
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -11,13 +11,13 @@
 from urllib.parse import parse_qs
 
 import msgspec
-import xxhash
 
 from cranberrysail.router.callerconn import CallerConn, CallerFront, CallerRequest
 from cranberrysail.router.clock import now
 from cranberrysail.router.httpstore import HttpStoreClient
 from cranberrysail.router.loadnews import LoadNews, LoadNewsItem
 from cranberrysail.router.recordrelay import RecordRelay
+from cranberrysail.router.rendezvous import score
 from cranberrysail.router.store import (
     BaseStore,
     Page,
@@ -90,10 +90,6 @@
     return msgspec.json.encode(_Entry(zone, address, relays))
 
 
-def _rank(key: str, router: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}/{router}".encode())
-
-
 class PeerBook:
     """The routers that entered themselves into the store."""
 
@@ -116,10 +112,10 @@
         peer = self._peers.get(name)
         return peer is not None and peer.address == address
 
-    def apply(self, page: Page, whole: bool) -> list[str]:
+    def apply(self, page: Page) -> list[str]:
         """Take records and return the keys of those that cannot be read."""
         rejected = []
-        if whole:
+        if page.whole:
             self._peers.clear()
         for key, value in page.records:
             if value is None:
@@ -140,8 +136,8 @@
         """
         if self._name not in self._peers:
             return sys.maxsize
-        own = _rank(endpoint, self._name)
-        return sum(_rank(endpoint, name) > own for name in self._peers)
+        own = score(endpoint, self._name)
+        return sum(score(endpoint, name) > own for name in self._peers)
 
     def before_store(self) -> list[Peer]:
         """Return the peers of this zone to ask before the store.
@@ -151,7 +147,7 @@
         """
         order = sorted(
             (p for p in self._peers.values() if p.zone == self._zone and p.relays),
-            key=lambda p: _rank("", p.name),
+            key=lambda p: score("", p.name),
         )
         names = [p.name for p in order]
         if self._name in names:
@@ -164,7 +160,7 @@
         others.sort(
             key=lambda p: (
                 p.zone != self._zone,
-                _rank(self._name, p.name),
+                score(self._name, p.name),
             )
         )
         return others[:4]
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -9,9 +9,8 @@
 
 from dataclasses import dataclass
 
-import xxhash
-
 from cranberrysail.router.endpoints import Endpoint
+from cranberrysail.router.rendezvous import score
 
 __all__ = ["Candidate", "PlacementBound", "cache_source", "chain_key", "choose"]
 
@@ -106,7 +105,7 @@
     sound = [c for c in candidates if not c.spared] or candidates
     if not key:
         return min(sound, key=lambda c: _plain_cost(c, zone, bound))
-    ranked = sorted(sound, key=lambda c: _rank(key, c.endpoint.name), reverse=True)
+    ranked = sorted(sound, key=lambda c: score(key, c.endpoint.name), reverse=True)
     homes = [c for c in ranked if c.load <= most][:QUEUED_HOMES]
     if not homes:
         return min(sound, key=lambda c: c.load)
@@ -116,22 +115,17 @@
 
 
 def cache_source(
-    endpoints: list[Endpoint], key: str, target: Endpoint | None
+    endpoints: list[Endpoint], key: str, target: Endpoint
 ) -> Endpoint | None:
     """Return the endpoint that most likely holds what a call shares.
 
     Args:
       endpoints: Endpoints that can be reached, those that leave included.
       key: What the call shares with others.
-      target: Where the call goes, which fetches what it does not hold itself; None
-        if that is not known.
+      target: Where the call goes; it fetches what it does not hold itself.
     """
     others = [e for e in endpoints if e is not target]
-    return max(others, key=lambda e: _rank(key, e.name), default=None)
-
-
-def _rank(key: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
+    return max(others, key=lambda e: score(key, e.name), default=None)
 
 
 def _plain_cost(candidate: Candidate, zone: str, bound: PlacementBound) -> float:
