--- a/bench/journal.py
+++ b/bench/journal.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+from cranberrysail.benchmark.report import as_table
+
 FOLDER = Path(__file__).parent.parent / "journal"
 # Prices of the report by which a day's costs are told.
 COSTS = (
@@ -69,12 +71,6 @@
     return as_table(lines)
 
 
-def as_table(lines: list[list[str]]) -> str:
-    """Return lines as a Markdown table; the first is its head."""
-    lines.insert(1, ["---"] * len(lines[0]))
-    return "\n".join(f"| {' | '.join(line)} |" for line in lines)
-
-
 def main() -> None:
     """Print the tables of the entries named."""
     by_site: dict[str, dict[str, dict]] = {}
--- a/cranberrysail/benchmark/arrivals.py
+++ b/cranberrysail/benchmark/arrivals.py
@@ -35,6 +35,11 @@
     own: int
     tokens: int
 
+    @property
+    def prompt(self) -> str:
+        """Return the name of its shared part."""
+        return f"{self.kind}-{self.subject}"
+
 
 def draw(sheet: Sheet, rate: float, seed: int) -> list[Arrival]:
     """Return arrivals in order of time.
--- a/cranberrysail/benchmark/engine.py
+++ b/cranberrysail/benchmark/engine.py
@@ -32,11 +32,6 @@
     last_s: float = 0.0
     gap_s: float = 0.0
 
-    @property
-    def prompt(self) -> str:
-        """Return the name of its shared part."""
-        return f"{self.kind.name}-{self.arrival.subject}"
-
     @property
     def held_tokens(self) -> int:
         """Return the memory that is its own."""
@@ -98,7 +93,7 @@
         most = self.sheet.memory_tokens
         live = self.reading + self.running
         held = sum(work.held_tokens for work in live) + sum(self.kept.values())
-        needed = {work.prompt for work in live}
+        needed = {work.arrival.prompt for work in live}
         for prompt in [p for p in self.kept if p not in needed]:
             if held <= most:
                 return
@@ -144,7 +139,7 @@
             if head.to_read <= 0:
                 self.running.append(self.reading.pop(0))
         took_ms = sheet.step_ms + sheet.step_ms_a_call * len(self.running)
-        took_s = (took_ms + read / sheet.read_tokens_a_ms) / 1000 * slowness
+        took_s = (took_ms + sheet.read_ms(read)) / 1000 * slowness
         self._make_tokens(now + took_s)
         return took_s
 
--- a/cranberrysail/benchmark/play.py
+++ b/cranberrysail/benchmark/play.py
@@ -187,7 +187,7 @@
         engine = self.engines[choice.endpoint.name]
         self._note_load(engine)
         to_read = arrival.own + self._shared_to_read(
-            engine, kind, arrival, choice.cache_source
+            engine, arrival, choice.cache_source
         )
         urgency = self.policy.urgency(kind)
         engine.take(Work(arrival, kind, router.number, urgency, to_read))
@@ -214,14 +214,10 @@
         self.counts["over"] += engine.load > CAP_TIMES * mean + CAP_CALLS
 
     def _shared_to_read(
-        self,
-        engine: Engine,
-        kind: CallSheet,
-        arrival: Arrival,
-        source: Endpoint | None,
+        self, engine: Engine, arrival: Arrival, source: Endpoint | None
     ) -> float:
         """Return what the shared part of a prompt costs, in tokens to read."""
-        prompt = f"{kind.name}-{arrival.subject}"
+        prompt = arrival.prompt
         found = prompt in engine.kept
         fetched = (
             self.policy.fetches
--- a/cranberrysail/benchmark/policy.py
+++ b/cranberrysail/benchmark/policy.py
@@ -8,7 +8,9 @@
 from cranberrysail.benchmark.sheet import CallSheet
 from cranberrysail.registry import Registry
 from cranberrysail.router.admission import AdmissionBound, RefusalReason
+from cranberrysail.router.endpoints import Endpoint
 from cranberrysail.router.placement import PlacementBound, cache_source
+from cranberrysail.router.rendezvous import score
 from cranberrysail.router.selector import Choice
 
 if TYPE_CHECKING:
@@ -35,10 +37,13 @@
     arrival: Arrival
     left_s: float
 
-    @property
-    def prompt(self) -> str:
-        """Return the name of what it shares with others."""
-        return f"{self.kind.name}-{self.arrival.subject}"
+    def order(self) -> list[Endpoint]:
+        """Return the engines in the order of the call's prompt, its home first."""
+        return sorted(
+            self.router.endpoints.values(),
+            key=lambda e: score(self.arrival.prompt, e.name),
+            reverse=True,
+        )
 
 
 class BasePolicy(ABC):
@@ -83,7 +88,7 @@
 
     def choose(self, asked: Asked) -> Choice:
         """Return what the router's selector chooses."""
-        parts = (asked.prompt, "own")
+        parts = (asked.arrival.prompt, "own")
         return asked.router.choose(
             asked.play.tables, parts, asked.left_s, asked.play.now
         )
@@ -192,13 +197,10 @@
         choice = super().choose(asked)
         if choice.endpoint is None:
             return choice
-        engine = asked.play.engines[choice.endpoint.name]
-        prompt = asked.prompt
-        shared = 0 if prompt in engine.kept else asked.arrival.shared
-        ahead_ms = engine.unread_tokens / asked.play.sheet.engines.read_tokens_a_ms
-        own_ms = (
-            shared + asked.arrival.own
-        ) / asked.play.sheet.engines.read_tokens_a_ms
+        engine, arrival = asked.play.engines[choice.endpoint.name], asked.arrival
+        shared = 0 if arrival.prompt in engine.kept else arrival.shared
+        ahead_ms = engine.sheet.read_ms(engine.unread_tokens)
+        own_ms = engine.sheet.read_ms(shared + arrival.own)
         if ahead_ms + own_ms <= asked.kind.aim_ms or own_ms > asked.kind.aim_ms:
             return choice
         return Choice(None, RefusalReason.FULL, backlog_s=ahead_ms / 1000)
@@ -217,12 +219,7 @@
 
     def choose(self, asked: Asked) -> Choice:
         """Return the less loaded of two."""
-        prompt = asked.prompt
-        left = list(asked.router.endpoints.values())
-        homes = []
-        for _ in range(min(2, len(left))):
-            homes.append(cache_source(left, prompt, None))
-            left.remove(homes[-1])
+        homes = asked.order()[:2]
         loads = asked.router.selector.loads
         others = loads.mean_others(homes, asked.play.now)
         best = min(homes, key=lambda e: loads.load(e, others, asked.play.now))
@@ -236,9 +233,8 @@
 
     def choose(self, asked: Asked) -> Choice:
         """Return the engine that would answer first as far as is known."""
-        prompt = asked.prompt
         ends = list(asked.router.endpoints.values())
-        home = cache_source(ends, prompt, None)
+        home = asked.order()[0]
         loads, sheet = asked.router.selector.loads, asked.play.sheet
         others = loads.mean_others(ends, asked.play.now)
         own = sum(c.rate * c.own for c in sheet.calls)
@@ -259,7 +255,7 @@
 
     def choose(self, asked: Asked) -> Choice:
         """Return the engine that would answer first."""
-        prompt = asked.prompt
+        prompt = asked.arrival.prompt
         sheet = asked.play.sheet.engines
         holds = any(prompt in engine.kept for engine in asked.play.engines.values())
         forecasts = []
@@ -268,7 +264,7 @@
             shared = 0.0 if prompt in engine.kept else asked.arrival.shared * cost
             tokens = engine.unread_tokens + shared + asked.arrival.own
             full = max(0, engine.load + 1 - sheet.slots) * sheet.step_ms * 10
-            forecasts.append(_Forecast(tokens / sheet.read_tokens_a_ms + full, name))
+            forecasts.append(_Forecast(sheet.read_ms(tokens) + full, name))
         best = asked.router.endpoints[min(forecasts, key=lambda f: f.wait_ms).engine]
         others = [
             e
--- a/cranberrysail/benchmark/report.py
+++ b/cranberrysail/benchmark/report.py
@@ -6,7 +6,7 @@
 from cranberrysail.benchmark.play import Play
 from cranberrysail.benchmark.plot import Line, chart
 
-__all__ = ["table", "write_plots"]
+__all__ = ["as_table", "table", "write_plots"]
 
 # Seconds of arrivals that make one point of a line.
 POINT_S = 1.0
@@ -28,9 +28,14 @@
 
 def table(plays: dict[str, Play]) -> str:
     """Return a Markdown table, a line for each policy."""
-    rows = [" | ".join(HEADS), " | ".join("---" for _ in HEADS)]
-    rows += [" | ".join(_cells(name, play)) for name, play in plays.items()]
-    return "\n".join(f"| {row} |" for row in rows)
+    return as_table([[*HEADS], *(_cells(name, play) for name, play in plays.items())])
+
+
+def as_table(lines: list[list[str]]) -> str:
+    """Return lines of cells as a Markdown table; the first is its head."""
+    head, *rows = lines
+    ruled = [head, ["---"] * len(head), *rows]
+    return "\n".join(f"| {' | '.join(line)} |" for line in ruled)
 
 
 def _quantile(values: list[float], share: float) -> float:
--- a/cranberrysail/benchmark/sheet.py
+++ b/cranberrysail/benchmark/sheet.py
@@ -63,6 +63,10 @@
     event_tokens: int = Field(ge=1)
     fetch_share: float = Field(default=0.025, ge=0, le=1)
 
+    def read_ms(self, tokens: float) -> float:
+        """Return the time to read prompt tokens, in milliseconds."""
+        return tokens / self.read_tokens_a_ms
+
 
 class Burst(_Strict):
     """A time in which more calls come.
