--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -244,6 +244,10 @@
             endpoint=endpoint.id,
             load=round(choice.load, 1),
             of=choice.candidates,
+            mean=round(choice.mean_load, 1),
+            spill_load=round(choice.spill_load, 1),
+            rank=choice.rank,
+            report_age_s=_rounded(choice.report_age_s),
             cache_from=choice.cache_source.id if choice.cache_source else None,
             cold=endpoint.is_cold(now()),
             declared_age_s=round(now() - endpoint.declared_s, 2),
@@ -349,3 +353,7 @@
         incarnations = {endpoint.incarnation for endpoint in endpoints}
         self.attempt_runner.connection_pool.sweep(incarnations)
         self._selector.loads.retain(incarnations)
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 2)
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -106,10 +106,12 @@
 @LINE_FORMATTERS.register("placed")
 def _placed(line: LogLine) -> str:
     cache = f", cache from {line['cache_from']}" if line.get("cache_from") else ""
+    rank = f", rank {line['rank']}" if line.get("rank") is not None else ""
     return (
         f"attempt {line.get('attempt')} assigned to {line.get('endpoint')} by "
-        f"route {line.get('route')}: load {line.get('load')}, {line.get('of')} "
-        f"candidates{cache}; tables version {line.get('tables')}, last declaration of "
+        f"route {line.get('route')}: load {line.get('load')} by a report "
+        f"{line.get('report_age_s')} s old, mean {line.get('mean')}, calls spill above "
+        f"{line.get('spill_load')}; {line.get('of')} candidates{rank}{cache}; tables version {line.get('tables')}, last declaration of "
         f"the endpoint read {line.get('declared_age_s')} s earlier"
     )
 
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -88,6 +88,10 @@
             return 0.0
         return 0.5 ** (max(0.0, age_s - REPORT_FRESH_S) / REPORT_HALF_LIFE_S)
 
+    def report_age_s(self, now: float) -> float | None:
+        """Return the age of the last report in seconds, or None without one."""
+        return None if self.reported_s == float("-inf") else now - self.reported_s
+
     def _decay_health(self, now: float) -> None:
         decay = 0.5 ** ((now - self.health_updated_s) / HEALTH_HALF_LIFE_S)
         self.latency_ratio = 1.0 + (self.latency_ratio - 1.0) * decay
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "Candidate",
+    "Placement",
     "PlacementBound",
     "choose_cache_source",
     "shared_prefix_id",
@@ -93,6 +94,19 @@
     deprioritized: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The endpoint chosen for a call.
+
+    Attributes:
+      rank: Number of usable endpoints that rank higher for the call's prefix, 0 for the
+        home endpoint; None for a call without a prompt.
+    """
+
+    candidate: Candidate
+    rank: int | None = None
+
+
 def shared_prefix_id(parts: tuple[str, ...]) -> str:
     """Return the id of the longest prompt prefix that other calls may share.
 
@@ -113,7 +127,7 @@
     zone: str,
     bound: PlacementBound,
     spill_load: float,
-) -> Candidate | None:
+) -> Placement | None:
     """Return the endpoint for a call, or None if there is no candidate.
 
     Args:
@@ -127,13 +141,20 @@
         return None
     available = [c for c in candidates if not c.deprioritized] or candidates
     if not prefix_id:
-        return min(available, key=lambda c: _zone_weighted_load(c, zone, bound))
+        return Placement(
+            min(available, key=lambda c: _zone_weighted_load(c, zone, bound))
+        )
     ranked = sorted(
         available, key=lambda c: score(prefix_id, c.endpoint.id), reverse=True
     )
+    chosen = _choose_ranked(ranked, spill_load)
+    return Placement(chosen, ranked.index(chosen))
+
+
+def _choose_ranked(ranked: list[Candidate], spill_load: float) -> Candidate:
     within_spill_load = [c for c in ranked if c.load <= spill_load][:QUEUE_CANDIDATES]
     if not within_spill_load:
-        return min(available, key=lambda c: c.load)
+        return min(ranked, key=lambda c: c.load)
     if within_spill_load[0].load < within_spill_load[0].slots:
         return within_spill_load[0]
     return min(within_spill_load, key=lambda c: c.load)
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -41,6 +41,11 @@
         COLD, else those of them within the limit for cold endpoints.
       wait_s: Expected time until a slot becomes free; set only if the reason is FULL.
       cache_source: Endpoint from which the prompt cache may be fetched, if any.
+      rank: Rank of the endpoint for the call's prompt, 0 for its home; None without a
+        prompt.
+      mean_load: Mean load of the service, as far as this router knows.
+      spill_load: Load above which calls spill from their home endpoint.
+      report_age_s: Age of the last load report from the endpoint; None without one.
     """
 
     endpoint: Endpoint | None
@@ -49,6 +54,10 @@
     candidates: int = 0
     wait_s: float = 0.0
     cache_source: Endpoint | None = None
+    rank: int | None = None
+    mean_load: float = 0.0
+    spill_load: float = 0.0
+    report_age_s: float | None = None
 
 
 @dataclass
@@ -165,27 +174,29 @@
         # Only services with a number of engine slots have a prompt cache.
         prefix_id = shared_prefix_id(parts) if service.engine_slots else ""
         bound = self.cfg.placement
-        spill_load = bound.spill_load(
-            self._mean_load(service_name, now), len(self.routers)
-        )
-        chosen = choose_endpoint(
+        mean_load = self._mean_load(service_name, now)
+        spill_load = bound.spill_load(mean_load, len(self.routers))
+        placement = choose_endpoint(
             candidates, prefix_id, self.cfg.zone, bound, spill_load
         )
+        chosen = placement.candidate
         service_time_s = self.service_time.mean_s(service_name, ASSUMED_SERVICE_TIME_S)
         wait_s = expected_wait_s(chosen.load, chosen.slots, service_time_s)
         if wait_s > remaining_s * self.cfg.admission.max_wait_share:
             return Choice(
                 None, RefusalReason.FULL, chosen.load, len(admissible), wait_s=wait_s
             )
-        cache_source = self._choose_cache_source(
-            service_name, prefix_id, chosen.endpoint, now
-        )
         return Choice(
             chosen.endpoint,
-            None,
-            chosen.load,
-            len(admissible),
-            cache_source=cache_source,
+            load=chosen.load,
+            candidates=len(admissible),
+            cache_source=self._choose_cache_source(
+                service_name, prefix_id, chosen.endpoint, now
+            ),
+            rank=placement.rank,
+            mean_load=mean_load,
+            spill_load=spill_load,
+            report_age_s=self.loads.stats(chosen.endpoint).report_age_s(now),
         )
 
     def _mean_load(self, service: str, now: float) -> float:
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -34,7 +34,8 @@
     usable = [e for e in endpoints if e.record.zone not in zones_out]
     mean = sum(e.open_calls for e in endpoints) / len(endpoints)
     spill_load = BOUND.spill_load(mean, ROUTERS)
-    return choose_endpoint(candidates(usable), key, "a", BOUND, spill_load).endpoint
+    placement = choose_endpoint(candidates(usable), key, "a", BOUND, spill_load)
+    return placement.candidate.endpoint
 
 
 def test_calls_with_same_prompt_go_to_same_engine():
@@ -91,10 +92,10 @@
 def test_deprioritized_endpoints_are_used_only_if_there_is_no_other():
     endpoints = [endpoint(n) for n in range(3)]
     home = place(endpoints, "manual").id
-    candidate = choose_endpoint(
+    placement = choose_endpoint(
         candidates(endpoints, {home}), "manual", "a", BOUND, 0.0
     )
-    assert candidate.endpoint.id != home
+    assert placement.candidate.endpoint.id != home
     everyone = {e.id for e in endpoints}
     assert choose_endpoint(candidates(endpoints, everyone), "manual", "a", BOUND, 0.0)
 
