--- a/cranberrysail/benchmark/arrivals.py
+++ b/cranberrysail/benchmark/arrivals.py
@@ -14,6 +14,8 @@
 # Exponent applied to the uniform random number that selects a subject. Above 1,
 # subjects with low numbers are more frequent, as in the users' workloads.
 SUBJECT_SKEW = 1.3
+# Calls that arrive together are spread evenly over this time.
+CLUMP_SPREAD_S = 0.05
 # Standard deviation of the natural logarithm of prompt and response sizes.
 SIZE_SIGMA = 0.7
 
@@ -85,19 +87,33 @@
     max_factor = max(max_factor, 1.0)
     at_s = 0.0
     while True:
-        at_s += rng.expovariate(profile.rate * rate_factor * max_factor)
+        at_s += rng.expovariate(profile.rate * rate_factor * max_factor / config.clump)
         if at_s >= config.play_s:
             return
         if rng.random() * max_factor > config.rate_factor(at_s):
             continue
-        subject = int(profile.subjects * rng.random() ** SUBJECT_SKEW)
-        if rng.random() < config.hot_fraction(profile.name, at_s):
-            subject = 0
-        tokens = _draw_size(rng, profile.events) * config.engines.event_tokens
-        own = _draw_size(rng, profile.own)
-        yield Arrival(
-            round(at_s, 6), profile.name, subject, prefix_sizes[subject], own, tokens
-        )
+        yield _generate_arrival(config, profile, prefix_sizes, rng, at_s)
+        # The number of calls that arrive together has a geometric distribution.
+        while config.clump > 1 and rng.random() < 1 - 1 / config.clump:
+            together_s = at_s + rng.random() * CLUMP_SPREAD_S
+            yield _generate_arrival(config, profile, prefix_sizes, rng, together_s)
+
+
+def _generate_arrival(
+    config: SimulationConfig,
+    profile: CallProfile,
+    prefix_sizes: list[int],
+    rng: random.Random,
+    at_s: float,
+) -> Arrival:
+    subject = int(profile.subjects * rng.random() ** SUBJECT_SKEW)
+    if rng.random() < config.hot_fraction(profile.name, at_s):
+        subject = 0
+    tokens = _draw_size(rng, profile.events) * config.engines.event_tokens
+    own = _draw_size(rng, profile.own)
+    return Arrival(
+        round(at_s, 6), profile.name, subject, prefix_sizes[subject], own, tokens
+    )
 
 
 def _draw_size(rng: random.Random, mean: float) -> int:
--- a/cranberrysail/benchmark/config.py
+++ b/cranberrysail/benchmark/config.py
@@ -6,6 +6,7 @@
     "Burst",
     "CallProfile",
     "EngineConfig",
+    "EngineJoin",
     "HotPeriod",
     "SimulationConfig",
     "SlowPeriod",
@@ -63,6 +64,8 @@
       event_tokens: Output tokens in one event of a response.
       fetch_share: Cost of fetching a cached token from another engine, as a fraction
         of the cost of processing it.
+      cold_calls_per_s: Calls per second that an engine can serve while cold; 0 if the
+        rate of calls to cold engines is not limited.
     """
 
     count: int = Field(ge=1)
@@ -74,6 +77,7 @@
     chunk_tokens: int = Field(default=1024, ge=1)
     event_tokens: int = Field(ge=1)
     fetch_share: float = Field(default=0.025, ge=0, le=1)
+    cold_calls_per_s: float = Field(default=0.0, ge=0)
 
     def prefill_ms(self, tokens: float) -> float:
         """Return the time to process a number of prompt tokens, in milliseconds."""
@@ -125,6 +129,20 @@
     times: float = Field(gt=1)
 
 
+class EngineJoin(_StrictModel):
+    """Engines that start during the simulation, with an empty cache.
+
+    Attributes:
+      at_s: Time of the start.
+      count: Number of engines.
+      cold_s: Time for which they stay cold.
+    """
+
+    at_s: float = Field(gt=0)
+    count: int = Field(ge=1)
+    cold_s: float = Field(ge=0)
+
+
 class SimulationConfig(_StrictModel):
     """Configuration of a simulation; its arrivals are generated or recorded.
 
@@ -138,6 +156,8 @@
       hot: Periods with a hot subject; of overlapping ones the largest share applies.
       slow: Periods in which the first engine is slow; of overlapping ones the largest
         factor applies.
+      joins: Engines that start during the simulation, besides those of ``engines``.
+      clump: Mean number of calls that arrive together. The rates stay the same.
     """
 
     routers: int = Field(ge=1)
@@ -147,6 +167,8 @@
     bursts: tuple[Burst, ...] = ()
     hot: tuple[HotPeriod, ...] = ()
     slow: tuple[SlowPeriod, ...] = ()
+    joins: tuple[EngineJoin, ...] = ()
+    clump: float = Field(default=1.0, ge=1)
 
     @model_validator(mode="after")
     def _check_unique_names(self) -> "SimulationConfig":
--- a/cranberrysail/benchmark/simulation.py
+++ b/cranberrysail/benchmark/simulation.py
@@ -2,11 +2,15 @@
 
 import heapq
 import random
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from cranberrysail.benchmark.arrivals import Arrival
-from cranberrysail.benchmark.config import CallProfile, SimulationConfig
+from cranberrysail.benchmark.config import (
+    CallProfile,
+    EngineJoin,
+    SimulationConfig,
+)
 from cranberrysail.benchmark.engine import Engine, EngineCall
 from cranberrysail.benchmark.policy import BasePolicy, PlacementRequest
 from cranberrysail.router.admission import jittered_retry_after_s
@@ -104,6 +108,8 @@
         ``again`` is the part of ``read`` that some engine had cached. ``pushed`` is the
         number of scheduled events.
       samples: Latencies of first tokens.
+      overloads: Times in seconds, one for each call sent to an engine, and whether that
+        engine was overloaded.
       load_ratios: Times in seconds, each with the load of the busiest engine divided by
         the mean load at that time.
     """
@@ -129,16 +135,15 @@
         self.now = 0.0
         self.counts: Counter = Counter()
         self.samples: list[FirstTokenSample] = []
+        self.overloads: list[tuple[float, bool]] = []
         self.load_ratios: list[tuple[float, float]] = []
-        self.tables = RouteTables(
-            1, (), {SERVICE: Service(SERVICE, engine_slots=config.engines.slots)}
+        service = Service(
+            SERVICE,
+            engine_slots=config.engines.slots,
+            cold_calls_per_s=config.engines.cold_calls_per_s,
         )
-        records = [
-            EndpointRecord(
-                f"e{n}", 1, 1, SERVICE, f"10.0.0.{n}:80", ZONES[n % 3], self._slots
-            )
-            for n in range(config.engines.count)
-        ]
+        self.tables = RouteTables(1, (), {SERVICE: service})
+        records = [self._make_record(n) for n in range(config.engines.count)]
         self.engines = {
             r.endpoint_id: Engine(r.endpoint_id, config.engines) for r in records
         }
@@ -148,12 +153,26 @@
         self._events: list[tuple[float, int, object]] = []
         for arrival in arrivals:
             self._schedule(arrival.at_s, arrival)
+        for join in config.joins:
+            self._schedule(join.at_s, join)
         self._schedule(LOAD_SAMPLE_INTERVAL_S, None)
 
     @property
     def _slots(self) -> int:
         return self.config.engines.slots
 
+    def _make_record(self, number: int, cold_s: float = 0.0) -> EndpointRecord:
+        return EndpointRecord(
+            f"e{number}",
+            1,
+            1,
+            SERVICE,
+            f"10.0.0.{number}:80",
+            ZONES[number % 3],
+            self._slots,
+            remaining_cold_s=cold_s,
+        )
+
     def _make_router(
         self, index: int, records: list[EndpointRecord]
     ) -> SimulatedRouter:
@@ -185,8 +204,8 @@
 
         Args:
           at_s: Virtual time of the event.
-          event: An ``Engine`` whose next step begins, an ``Arrival``, a ``Retry``, or
-            None to sample the load.
+          event: An ``Engine`` whose next step begins, an ``Arrival``, a ``Retry``, an
+            ``EngineJoin``, or None to sample the load.
         """
         self.counts["pushed"] += 1
         heapq.heappush(self._events, (at_s, self.counts["pushed"], event))
@@ -201,10 +220,23 @@
                 self._arrive(event, self.rng.choice(self.routers))
             elif isinstance(event, Retry):
                 self._place(event.arrival, self.rng.choice(self.routers))
+            elif isinstance(event, EngineJoin):
+                self._add_engines(event)
             else:
                 self._sample_load()
         return self
 
+    def _add_engines(self, join: EngineJoin) -> None:
+        """Start engines, and declare them to all routers."""
+        for number in range(len(self.engines), len(self.engines) + join.count):
+            record = self._make_record(number, join.cold_s)
+            name = record.endpoint_id
+            self.engines[name] = Engine(name, self.config.engines)
+            for router in self.routers:
+                directory = router.selector.endpoints
+                directory.declare(record, self.now)
+                router.endpoints[name] = directory.get(name)
+
     def cached_prefixes(self, endpoint: Endpoint) -> dict[str, int]:
         """Return the tokens of each shared prefix cached at an engine, by prefix id."""
         return self.engines[endpoint.id].cached_prefixes
@@ -227,6 +259,7 @@
             router.waiting.append(arrival)
             return
         choice.endpoint.open_calls += 1
+        router.selector.cold_limiter.record_call(choice.endpoint.id, self.now)
         engine = self.engines[choice.endpoint.id]
         self._count_overload(engine)
         prefill_tokens = arrival.own + self._cache_prefix(
@@ -264,9 +297,30 @@
     def _count_overload(self, engine: Engine) -> None:
         """Count the call that is about to be sent, if the engine is overloaded."""
         mean = sum(e.load for e in self.engines.values()) / len(self.engines)
-        self.counts["over"] += (
-            engine.load > OVERLOAD_FACTOR * mean + OVERLOAD_SLACK_CALLS
-        )
+        overloaded = engine.load > OVERLOAD_FACTOR * mean + OVERLOAD_SLACK_CALLS
+        self.counts["over"] += overloaded
+        self.overloads.append((self.now, overloaded))
+
+    def max_overload_fraction(self, window_s: float, from_s: float = 0.0) -> float:
+        """Return the largest fraction of calls sent to overloaded engines in a window.
+
+        Args:
+          window_s: Length of the sliding window.
+          from_s: Earliest start of a window.
+        """
+        largest = 0.0
+        window: deque[tuple[float, bool]] = deque()
+        overloaded_calls = 0
+        for at_s, overloaded in self.overloads:
+            if at_s < from_s:
+                continue
+            window.append((at_s, overloaded))
+            overloaded_calls += overloaded
+            while at_s - window[0][0] > window_s:
+                overloaded_calls -= window.popleft()[1]
+            if at_s >= from_s + window_s:
+                largest = max(largest, overloaded_calls / len(window))
+        return largest
 
     def _cache_prefix(
         self, engine: Engine, arrival: Arrival, source: Endpoint | None
@@ -307,6 +361,7 @@
         for call in engine.pop_finished():
             self.counts["paused"] += call.max_gap_s * 1000 > call.profile.gap_ms
             self._record_speed(engine, call)
+            self._record_service_time(call)
             self._close_call(engine, self.routers[call.router_index])
         self._schedule(done_s, engine)
 
@@ -340,6 +395,11 @@
             SERVICE, stats, events, call.last_token_s - call.first_token_s
         )
 
+    def _record_service_time(self, call: EngineCall) -> None:
+        """Update the router's estimate of how long calls are open at engines."""
+        selector = self.routers[call.router_index].selector
+        selector.service_time.add_sample(SERVICE, self.now - call.arrival.at_s)
+
     def _close_call(self, engine: Engine, router: SimulatedRouter) -> None:
         """Release a finished call, and place the calls queued at its router."""
         router.endpoints[engine.name].open_calls -= 1
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -111,8 +111,9 @@
         f"attempt {line.get('attempt')} assigned to {line.get('endpoint')} by "
         f"route {line.get('route')}: load {line.get('load')} by a report "
         f"{line.get('report_age_s')} s old, mean {line.get('mean')}, calls spill above "
-        f"{line.get('spill_load')}; {line.get('of')} candidates{rank}{cache}; tables version {line.get('tables')}, last declaration of "
-        f"the endpoint read {line.get('declared_age_s')} s earlier"
+        f"{line.get('spill_load')}; {line.get('of')} candidates{rank}{cache}; tables "
+        f"version {line.get('tables')}, last declaration of the endpoint read "
+        f"{line.get('declared_age_s')} s earlier"
     )
 
 
--- a/tests/benchmark/test_simulation.py
+++ b/tests/benchmark/test_simulation.py
@@ -91,6 +91,18 @@
     assert overloaded["as the product"] < 0.03 < overloaded["never spill"]
 
 
+@pytest.mark.parametrize(
+    ("sheet", "from_s"), [("guides-joins", 6.5), ("authors-joins", 3.0)]
+)
+def test_engines_are_not_overloaded_while_cold_ones_join_a_large_fleet(sheet, from_s):
+    """At most 3 % of calls go to overloaded engines in any 5 s (the users' bound)."""
+    config = jsonc.load_model(SHEETS / f"{sheet}.jsonc", SimulationConfig).ok
+    arrivals = generate_arrivals(config, 1.0, 1)
+    policy = POLICIES.get("as the product")()
+    simulation = Simulation(config, arrivals, policy, 1).run()
+    assert simulation.max_overload_fraction(5.0, from_s) <= 0.03
+
+
 def test_no_cached_prefix_is_processed_again_under_overload():
     """Guards against spilled calls having their prefix processed at many engines.
 
--- a/tests/router/test_load.py
+++ b/tests/router/test_load.py
@@ -1,15 +1,23 @@
 """Tests for load reports and endpoint health."""
 
+import random
+from collections import Counter
+
 import pytest
 
-from cranberrysail.router.endpoints import Endpoint, EndpointState
+from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.endpoints import Endpoint, EndpointDirectory, EndpointState
 from cranberrysail.router.load import (
     REPORT_MAX_AGE_S,
     EndpointStats,
     LoadReport,
     LoadTracker,
 )
-from cranberrysail.router.model import EndpointRecord
+from cranberrysail.router.model import EndpointRecord, RouteTables, Service
+from cranberrysail.router.peers import RouterDirectory
+from cranberrysail.router.selector import Selector
+
+TABLES = RouteTables(1, (), {"s": Service("s")})
 
 
 def endpoint(name="e"):
@@ -17,6 +25,21 @@
     return Endpoint(record, EndpointState.READY, 0.0)
 
 
+def make_selector(seed=1):
+    """Return a selector with eight endpoints, and the endpoints in two halves."""
+    directory = EndpointDirectory()
+    for number in range(8):
+        address = f"10.0.0.{number}:80"
+        directory.declare(
+            EndpointRecord(f"e{number}", 1, 1, "s", address, "a", 16), 0.0
+        )
+    cfg = RouterConfig("r", "a", *[""] * 5)
+    routers = RouterDirectory("r", "a")
+    selector = Selector(cfg, directory, LoadTracker(), routers, random.Random(seed))
+    endpoints = list(directory)
+    return selector, endpoints[:4], endpoints[4:]
+
+
 def test_own_calls_are_not_counted_twice():
     book = LoadTracker()
     one = endpoint()
@@ -97,3 +120,26 @@
     book.stats(endpoint("a")).other_calls = 5
     book.retain(set())
     assert book.stats(endpoint("a")).other_calls == 0
+
+
+def test_idle_endpoints_without_reports_do_not_raise_the_mean():
+    """Endpoints that get no calls report nothing, and must not count as loaded."""
+    selector, busy, idle = make_selector()
+    for step in range(1, 40):
+        now = step / 10
+        for each in busy:
+            selector.loads.record_load(each, 6, now)
+    choice = selector.choose(TABLES, "s", (), set(), 1.0, 4.0)
+    true_mean = 6 * len(busy) / (len(busy) + len(idle))
+    assert choice.mean_load == pytest.approx(true_mean, rel=0.2)
+
+
+def test_routers_with_the_same_old_reports_do_not_all_choose_one_endpoint():
+    chosen = Counter()
+    for seed in range(200):
+        selector, busy, idle = make_selector(seed)
+        selector.service_time.add_sample("s", 0.1)
+        for number, each in enumerate(busy + idle):
+            selector.loads.record_load(each, 1 if number == 3 else 5, 4.0)
+        chosen[selector.choose(TABLES, "s", (), set(), 1.0, 5.0).endpoint.id] += 1
+    assert max(chosen.values()) < 200 / 4
