Estimate loads as distributions, and the mean without the bias of reports

Cause, two faults in what a router makes of load reports:

The mean was too high (8.7 believed, 4.9 true), so calls spilled only at the bound itself. Idle engines (cold, back with their zone, lost) report nothing and were taken to have the mean of the busy ones; and a report shared with peers counted the call that brought it, which is one more than a call finds on average. A silent endpoint now counts by the probability that a loaded one would be silent for so long, and reports are shared without the call that brought them. 2. Reports 1.2 s old were taken at face value for 2 s, by all routers of a zone alike; the correlation of believed and true load was 0.07 to 0.22. All chose the same engine or spilled at once. A load is now a distribution: of the reported calls a part is still open, by the age of the report and the residual time of calls, and others have come as elsewhere; routers choose by a sample of it. For plain services, whose calls take 0.1 s, an old report hardly counts any more.

--- a/cranberrysail/benchmark/simulation.py
+++ b/cranberrysail/benchmark/simulation.py
@@ -66,6 +66,15 @@
             tables, SERVICE, prompt_parts, set(), remaining_s, now
         )
 
+    def expected_loads(self, endpoints: list[Endpoint], now: float) -> dict[str, float]:
+        """Return the expected open calls at each endpoint by its id."""
+        loads = self.selector.loads
+        typical = sum(loads.other_calls(endpoints, now)) / len(endpoints)
+        residual_s = self.selector.residual_time_s(SERVICE)
+        return {
+            e.id: loads.estimate(e, typical, now, residual_s).mean for e in endpoints
+        }
+
 
 @dataclass(frozen=True)
 class Retry:
@@ -398,7 +407,7 @@
     def _record_service_time(self, call: EngineCall) -> None:
         """Update the router's estimate of how long calls are open at engines."""
         selector = self.routers[call.router_index].selector
-        selector.service_time.add_sample(SERVICE, self.now - call.arrival.at_s)
+        selector.record_service_time(SERVICE, self.now - call.arrival.at_s)
 
     def _close_call(self, engine: Engine, router: SimulatedRouter) -> None:
         """Release a finished call, and place the calls queued at its router."""
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -289,7 +289,7 @@
             return
         self._selector.latency.add_sample(call.route.name, elapsed_s)
         if call.route.kind is not CallKind.STREAM:
-            self._selector.service_time.add_sample(call.service, elapsed_s)
+            self._selector.record_service_time(call.service, elapsed_s)
         call.latency_s = now() - call.request.arrived_s
         self._metrics.observe("first_byte", call.latency_s)
         if call.latency_s > call.route.target_latency_s:
@@ -336,7 +336,7 @@
         if call.event_splitter.tail or not call.response_started:
             await self._forward_events(call, conn, call.event_splitter.tail)
         call.caller_conn.end_response()
-        self._selector.service_time.add_sample(call.service, now() - sent_s)
+        self._selector.record_service_time(call.service, now() - sent_s)
         return Attempt(AttemptResult.DELIVERED)
 
     async def _forward_events(
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -1,17 +1,34 @@
-"""Load and health of each endpoint, as far as this router knows."""
+"""Load and health of each endpoint, as far as this router knows.
 
+Load reports are old when they are used, and all routers of a zone have the same ones.
+If each took them at face value, all would choose the same endpoint until the next
+reports. A load is therefore estimated as a distribution, and routers choose by a sample
+of it. The distribution is that of a queue with unlimited servers: a reported call is
+still open with a probability that decays with the report's age, at the rate at which
+calls end, and new ones arrive as at the other endpoints.
+"""
+
+import math
 from dataclasses import dataclass, field
 
 from cranberrysail.router.endpoints import Endpoint
 
-__all__ = ["REPORT_MAX_AGE_S", "EndpointStats", "LoadReport", "LoadTracker"]
+__all__ = [
+    "REPORT_MAX_AGE_S",
+    "EndpointStats",
+    "LoadEstimate",
+    "LoadReport",
+    "LoadTracker",
+]
 
-# Load reports arrive with responses. The weight of a report older than this
-# decays, and the estimate moves towards the mean over the endpoints.
-REPORT_FRESH_S = 2.0
-REPORT_HALF_LIFE_S = 3.0
 # Older reports are ignored.
 REPORT_MAX_AGE_S = 10.0
+# An endpoint may be silent for this many mean intervals between reports before it is
+# assumed to have fewer calls than the others, as each of its calls brings a report.
+SILENT_INTERVALS = 2.0
+# Lower limit of the mean interval between reports: as many reports arrive at once when
+# routers exchange them.
+MIN_REPORT_INTERVAL_S = 0.5
 # Weight of a new sample in the moving averages of latency and failures.
 HEALTH_SAMPLE_WEIGHT = 0.2
 # Half-life of measured slowness and failures.
@@ -44,12 +61,26 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class LoadEstimate:
+    """Estimated number of open calls at an endpoint.
+
+    Attributes:
+      mean: Expected number.
+      deviation: Standard deviation.
+    """
+
+    mean: float
+    deviation: float
+
+
 @dataclass(slots=True)
 class EndpointStats:
     """Load and health of one incarnation of an endpoint.
 
     Attributes:
-      reported_calls: Open calls of all routers in the last report.
+      reported_calls: Open calls of all routers in the last report, without the call
+        that brought it: at its arrival a call finds the mean number, and adds one.
       other_calls: Those of them that belong to other routers.
       reported_s: Time of the last report.
       latency_ratio: Moving average of actual over expected latency.
@@ -81,12 +112,17 @@
         oldest_s = next(iter(self.pending.values()))
         return now - max(oldest_s, self.last_byte_s) > UNRESPONSIVE_S
 
-    def report_weight(self, now: float) -> float:
-        """Return the weight of the last report, from 1 if fresh to 0 if too old."""
-        age_s = now - self.reported_s
+    def open_fraction(self, now: float, residual_s: float) -> float:
+        """Return the expected fraction of the last report's calls still open.
+
+        Args:
+          now: Current time in seconds.
+          residual_s: Mean time for which calls found open stay open.
+        """
+        age_s = max(0.0, now - self.reported_s)
         if age_s > REPORT_MAX_AGE_S:
             return 0.0
-        return 0.5 ** (max(0.0, age_s - REPORT_FRESH_S) / REPORT_HALF_LIFE_S)
+        return math.exp(-age_s / residual_s)
 
     def report_age_s(self, now: float) -> float | None:
         """Return the age of the last report in seconds, or None without one."""
@@ -159,17 +195,23 @@
         return stats
 
     def record_report(self, endpoint: Endpoint, report: LoadReport, now: float) -> None:
-        """Record a load report that arrived with a response."""
-        self.record_load(endpoint, report.running + report.waiting, now)
+        """Record a load report that arrived with the response to an open call."""
+        load = report.running + report.waiting
+        stats = self.stats(endpoint)
+        if now <= stats.reported_s:
+            return
+        stats.reported_calls = max(0, load - 1)
+        stats.other_calls = max(0, load - endpoint.open_calls)
+        stats.reported_s = now
 
     def record_load(self, endpoint: Endpoint, load: int, at_s: float) -> None:
-        """Record the open calls of an endpoint, unless a newer count is known.
+        """Record a load that another router reports, unless a newer one is known.
 
         This router's own open calls are subtracted to get those of other routers.
 
         Args:
           endpoint: The endpoint.
-          load: Its open calls, from all routers.
+          load: Its open calls, from all routers, as in ``reported_calls``.
           at_s: Time of the report.
         """
         stats = self.stats(endpoint)
@@ -179,28 +221,49 @@
         stats.other_calls = max(0, load - endpoint.open_calls)
         stats.reported_s = at_s
 
-    def load(self, endpoint: Endpoint, fallback: float, now: float) -> float:
+    def estimate(
+        self, endpoint: Endpoint, typical: float, now: float, residual_s: float
+    ) -> LoadEstimate:
         """Return the estimated number of open calls at an endpoint.
 
         Args:
           endpoint: The endpoint.
-          fallback: Calls of other routers to assume instead as its report gets old.
+          typical: Mean number of other routers' calls at the endpoints.
           now: Current time in seconds.
+          residual_s: Mean time for which calls found open stay open.
         """
         stats = self.stats(endpoint)
-        weight = stats.report_weight(now)
-        return endpoint.open_calls + fallback + weight * (stats.other_calls - fallback)
-
-    def mean_other_calls(self, endpoints: list[Endpoint], now: float) -> float:
-        """Return the mean of other routers' calls; fresher reports weigh more."""
-        samples = [
-            (stats.report_weight(now), stats.other_calls)
-            for stats in map(self.stats, endpoints)
-        ]
-        total = sum(weight for weight, _ in samples)
-        return (
-            sum(weight * calls for weight, calls in samples) / total if total else 0.0
+        open_fraction = stats.open_fraction(now, residual_s)
+        arrived = typical * (1.0 - open_fraction)
+        still_open = stats.other_calls * open_fraction
+        return LoadEstimate(
+            endpoint.open_calls + still_open + arrived,
+            math.sqrt(still_open * (1.0 - open_fraction) + arrived),
+        )
+
+    def other_calls(self, endpoints: list[Endpoint], now: float) -> list[float]:
+        """Return the expected number of other routers' calls at each endpoint.
+
+        An endpoint reports with each call, so one that has been silent for long has few
+        calls; without this, idle endpoints would count like the mean of the busy ones.
+        """
+        all_stats = [self.stats(endpoint) for endpoint in endpoints]
+        recent = [s for s in all_stats if now - s.reported_s <= REPORT_MAX_AGE_S]
+        if not recent:
+            return [0.0] * len(endpoints)
+        interval_s = max(
+            MIN_REPORT_INTERVAL_S, sum(now - s.reported_s for s in recent) / len(recent)
         )
+        unknown = sum(s.other_calls for s in recent) / len(recent)
+        found = []
+        for endpoint, stats in zip(endpoints, all_stats, strict=True):
+            is_recent = now - stats.reported_s <= REPORT_MAX_AGE_S
+            silent_s = now - (stats.reported_s if is_recent else endpoint.declared_s)
+            calls = stats.other_calls if is_recent else unknown
+            excess = max(0.0, silent_s / interval_s - SILENT_INTERVALS)
+            # The probability that a loaded endpoint is silent for so long.
+            found.append(calls * math.exp(-excess))
+        return found
 
     def retain(self, incarnations: set[tuple[str, int]]) -> None:
         """Drop the load and health of all incarnations but the given ones."""
--- a/cranberrysail/router/loadgossip.py
+++ b/cranberrysail/router/loadgossip.py
@@ -21,7 +21,8 @@
     Attributes:
       endpoint_id: Id of the endpoint.
       started_ms: Start of its incarnation, in milliseconds since the epoch.
-      load: Open calls at the endpoint, from all routers.
+      load: Open calls at the endpoint, from all routers, without the call that brought
+        the report.
       age_ms: Age of the report.
     """
 
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -9,6 +9,7 @@
 the load of all endpoints is too high, the least loaded one gets the call.
 """
 
+import random
 from dataclasses import dataclass
 
 from cranberrysail.router.endpoints import Endpoint
@@ -82,16 +83,23 @@
     """An endpoint that may be chosen for a call.
 
     Attributes:
-      load: Effective load: open calls, raised if the endpoint is slow or failing.
+      load: Expected effective load: open calls, raised if the endpoint is slow or
+        failing.
       slots: Calls that the endpoint processes concurrently.
       deprioritized: True if it is used only when all candidates are deprioritized,
         for example after connection failures or while it is unresponsive.
+      deviation: Standard deviation of the effective load.
     """
 
     endpoint: Endpoint
     load: float
     slots: int
     deprioritized: bool = False
+    deviation: float = 0.0
+
+    def sample_load(self, rng: random.Random) -> float:
+        """Return a random load that the endpoint may have."""
+        return rng.gauss(self.load, self.deviation)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +135,7 @@
     zone: str,
     bound: PlacementBound,
     spill_load: float,
+    rng: random.Random,
 ) -> Placement | None:
     """Return the endpoint for a call, or None if there is no candidate.
 
@@ -136,28 +145,41 @@
       zone: The router's availability zone.
       bound: Gives the penalty for another zone, for a call without a prompt.
       spill_load: Load above which calls spill to the next endpoint in rank.
+      rng: Samples the loads, so that routers with the same reports choose differently.
     """
     if not candidates:
         return None
     available = [c for c in candidates if not c.deprioritized] or candidates
     if not prefix_id:
-        return Placement(
-            min(available, key=lambda c: _zone_weighted_load(c, zone, bound))
-        )
+
+        def zone_weighted_load(candidate: Candidate) -> float:
+            same_zone = candidate.endpoint.record.zone == zone
+            penalty = 0.0 if same_zone else bound.cross_zone_calls
+            return candidate.sample_load(rng) + penalty
+
+        # Endpoints of equal load are chosen at random.
+        shuffled = rng.sample(available, len(available))
+        return Placement(min(shuffled, key=zone_weighted_load))
     ranked = sorted(
         available, key=lambda c: score(prefix_id, c.endpoint.id), reverse=True
     )
-    chosen = _choose_ranked(ranked, spill_load)
+    chosen = _choose_ranked(ranked, spill_load, rng)
     return Placement(chosen, ranked.index(chosen))
 
 
-def _choose_ranked(ranked: list[Candidate], spill_load: float) -> Candidate:
-    within_spill_load = [c for c in ranked if c.load <= spill_load][:QUEUE_CANDIDATES]
-    if not within_spill_load:
-        return min(ranked, key=lambda c: c.load)
-    if within_spill_load[0].load < within_spill_load[0].slots:
-        return within_spill_load[0]
-    return min(within_spill_load, key=lambda c: c.load)
+def _choose_ranked(
+    ranked: list[Candidate], spill_load: float, rng: random.Random
+) -> Candidate:
+    within_spill_load = []
+    for candidate in ranked:
+        if candidate.sample_load(rng) > spill_load:
+            continue
+        if not within_spill_load and candidate.load < candidate.slots:
+            return candidate
+        within_spill_load.append(candidate)
+        if len(within_spill_load) == QUEUE_CANDIDATES:
+            return min(within_spill_load, key=lambda c: c.load)
+    return min(within_spill_load or ranked, key=lambda c: c.sample_load(rng))
 
 
 def choose_cache_source(
@@ -172,10 +194,3 @@
     """
     others = [e for e in endpoints if e is not target]
     return max(others, key=lambda e: score(prefix_id, e.id), default=None)
-
-
-def _zone_weighted_load(
-    candidate: Candidate, zone: str, bound: PlacementBound
-) -> float:
-    same_zone = candidate.endpoint.record.zone == zone
-    return candidate.load + (0.0 if same_zone else bound.cross_zone_calls)
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -97,6 +97,7 @@
     rng: random.Random
     cold_limiter: ColdLimiter = field(init=False)
     service_time: MovingAverages = field(default_factory=MovingAverages)
+    _squared_service_time: MovingAverages = field(default_factory=MovingAverages)
     latency: MovingAverages = field(default_factory=MovingAverages)
     event_interval: MovingAverages = field(default_factory=MovingAverages)
 
@@ -136,6 +137,21 @@
             stats.record_interval_ratio(interval_s / mean_s, stats.last_byte_s)
         self.event_interval.add_sample(service, interval_s)
 
+    def record_service_time(self, service: str, seconds: float) -> None:
+        """Record the time that a call occupied a slot."""
+        self.service_time.add_sample(service, seconds)
+        self._squared_service_time.add_sample(service, seconds * seconds)
+
+    def residual_time_s(self, service: str) -> float:
+        """Return the mean time for which a call that is found open stays open.
+
+        Long calls are found open more often than short ones, so with calls of very
+        different lengths it is longer than half the mean service time.
+        """
+        mean_s = self.service_time.mean_s(service, ASSUMED_SERVICE_TIME_S)
+        mean_square = self._squared_service_time.mean_s(service, 2 * mean_s * mean_s)
+        return mean_square / (2 * mean_s)
+
     def choose_service(self, route: Route) -> str:
         """Return a service of the route, chosen at random by weight."""
         if len(route.service_weights) == 1:
@@ -170,14 +186,16 @@
         admissible = [e for e in usable if self._within_cold_limit(e, service, now)]
         if not admissible:
             return Choice(None, RefusalReason.COLD, candidates=len(usable))
-        candidates = self._candidates(admissible, now)
+        candidates = self._candidates(
+            admissible, now, self.residual_time_s(service_name)
+        )
         # Only services with a number of engine slots have a prompt cache.
         prefix_id = shared_prefix_id(parts) if service.engine_slots else ""
         bound = self.cfg.placement
         mean_load = self._mean_load(service_name, now)
         spill_load = bound.spill_load(mean_load, len(self.routers))
         placement = choose_endpoint(
-            candidates, prefix_id, self.cfg.zone, bound, spill_load
+            candidates, prefix_id, self.cfg.zone, bound, spill_load, self.rng
         )
         chosen = placement.candidate
         service_time_s = self.service_time.mean_s(service_name, ASSUMED_SERVICE_TIME_S)
@@ -206,14 +224,12 @@
         one endpoint is defined as a multiple of the mean over all of them.
         """
         endpoints = [e for e in self.endpoints if e.record.service == service]
-        mean_other_calls = self.loads.mean_other_calls(endpoints, now)
-        loads = [
-            e.open_calls
-            if self._is_excluded(e)
-            else self.loads.load(e, mean_other_calls, now)
-            for e in endpoints
-        ]
-        return sum(loads) / max(1, len(loads))
+        other_calls = self.loads.other_calls(endpoints, now)
+        total = sum(
+            e.open_calls + (0.0 if self._is_excluded(e) else calls)
+            for e, calls in zip(endpoints, other_calls, strict=True)
+        )
+        return total / max(1, len(endpoints))
 
     def _is_excluded(self, endpoint: Endpoint) -> bool:
         out = endpoint.record.zone in self.endpoints.zones_out
@@ -248,8 +264,11 @@
             now,
         )
 
-    def _candidates(self, endpoints: list[Endpoint], now: float) -> list[Candidate]:
-        mean_other_calls = self.loads.mean_other_calls(endpoints, now)
+    def _candidates(
+        self, endpoints: list[Endpoint], now: float, residual_s: float
+    ) -> list[Candidate]:
+        other_calls = self.loads.other_calls(endpoints, now)
+        typical = sum(other_calls) / len(other_calls)
         unreachable = self.endpoints.unreachable_zones(now)
         # In a zone of which at least half the endpoints fail, those that have not
         # failed yet are assumed to be unreachable too; only those whose back-off is
@@ -259,9 +278,9 @@
             stats = self.loads.stats(endpoint)
             # The penalty applies to the load including this call, so that it counts
             # for an idle endpoint too.
-            load = (
-                self.loads.load(endpoint, mean_other_calls, now) + 1
-            ) * stats.penalty(now) - 1
+            estimate = self.loads.estimate(endpoint, typical, now, residual_s)
+            penalty = stats.penalty(now)
+            load = (estimate.mean + 1) * penalty - 1
             deprioritized = (
                 now < endpoint.backoff_until_s
                 or stats.is_unresponsive(now)
@@ -272,6 +291,12 @@
                 )
             )
             found.append(
-                Candidate(endpoint, load, max(1, endpoint.record.slots), deprioritized)
+                Candidate(
+                    endpoint,
+                    load,
+                    max(1, endpoint.record.slots),
+                    deprioritized,
+                    estimate.deviation * penalty,
+                )
             )
         return found
--- a/tests/router/simulatedfleet.py
+++ b/tests/router/simulatedfleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -322,6 +323,8 @@
         )
         store = self.store.view_for(name)
         router = Router(cfg, store, PlatformDecoder(), PlatformHeaderCodec())
+        # Choices among endpoints are random; tests have the same ones each time.
+        router.selector.rng = random.Random(len(self.routers))
         router.log.write = lambda kind, **f: self.log_lines.append((kind, f))
         self.router = self.router or router
         self.routers[name] = router
