Exchange loads every 0.3 s, and between availability zones

Routers shared all their reports about once a second, in the requests by which they read records in their zone.

Routers now exchange loads by themselves: each 0.3 s with the router of their zone that reads the store, which exchanges them with its like in one other zone after the other. A report that comes back is not taken as a newer one.

--- a/cranberrysail/benchmark/simulation.py
+++ b/cranberrysail/benchmark/simulation.py
@@ -17,6 +17,7 @@
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory
 from cranberrysail.router.load import LoadReport, LoadTracker
+from cranberrysail.router.loadexchange import EXCHANGE_INTERVAL_S, OVERLAP_S
 from cranberrysail.router.loadgossip import LoadGossip
 from cranberrysail.router.model import EndpointRecord, RouteTables, Service
 from cranberrysail.router.peers import RouterDirectory, encode_router_record
@@ -29,9 +30,6 @@
 ZONES = ("a", "b", "c")
 # Interval in virtual time between samples of the engines' load.
 LOAD_SAMPLE_INTERVAL_S = 0.25
-# Interval in virtual time between exchanges of load gossip in a zone. Serving routers
-# exchange it in the requests by which they read store records from each other.
-GOSSIP_INTERVAL_S = 0.75
 # An engine is overloaded, by the users' definition, if its load exceeds twice the mean
 # plus 3 calls.
 OVERLOAD_FACTOR = 2.0
@@ -83,6 +81,18 @@
     arrival: Arrival
 
 
+@dataclass(frozen=True)
+class LoadExchangeDue:
+    """Event for a router's next exchange of loads.
+
+    Attributes:
+      turn: Number of the exchange.
+    """
+
+    router: SimulatedRouter
+    turn: int = 0
+
+
 @dataclass(frozen=True)
 class FirstTokenSample:
     """Latency of the first token of a call.
@@ -158,12 +168,15 @@
         }
         self._slow_engine = next(iter(self.engines.values()))
         self.routers = [self._make_router(n, records) for n in range(config.routers)]
-        self._next_gossip_s = 0.0
         self._events: list[tuple[float, int, object]] = []
         for arrival in arrivals:
             self._schedule(arrival.at_s, arrival)
         for join in config.joins:
             self._schedule(join.at_s, join)
+        if policy.gossips_load:
+            for router in self.routers:
+                first_s = self.rng.random() * EXCHANGE_INTERVAL_S
+                self._schedule(first_s, LoadExchangeDue(router))
         self._schedule(LOAD_SAMPLE_INTERVAL_S, None)
 
     @property
@@ -197,7 +210,7 @@
             directory.declare(record, 0.0)
         peers = RouterDirectory(cfg.name, cfg.zone)
         entries = tuple(
-            (f"r{n}", encode_router_record("a", f"{n}:1", True))
+            (f"r{n}", encode_router_record(ZONES[n % 3], f"r{n}", True))
             for n in range(self.config.routers)
         )
         peers.apply(Page(entries, self.config.routers, is_snapshot=True))
@@ -214,7 +227,7 @@
         Args:
           at_s: Virtual time of the event.
           event: An ``Engine`` whose next step begins, an ``Arrival``, a ``Retry``, an
-            ``EngineJoin``, or None to sample the load.
+            ``EngineJoin``, a ``LoadExchangeDue``, or None to sample the load.
         """
         self.counts["pushed"] += 1
         heapq.heappush(self._events, (at_s, self.counts["pushed"], event))
@@ -229,6 +242,8 @@
                 self._arrive(event, self.rng.choice(self.routers))
             elif isinstance(event, Retry):
                 self._place(event.arrival, self.rng.choice(self.routers))
+            elif isinstance(event, LoadExchangeDue):
+                self._exchange_loads(event)
             elif isinstance(event, EngineJoin):
                 self._add_engines(event)
             else:
@@ -420,28 +435,22 @@
         profile = self.config.profile(arrival.kind)
         return self.policy.priority(profile), arrival.at_s
 
-    def _exchange_loads(self) -> None:
-        """Exchange load gossip between the routers of each zone, if it is due.
-
-        The first router of a zone merges the reports of the others, and then passes all
-        on to them.
-        """
-        if self.now < self._next_gossip_s or not self.policy.gossips_load:
+    def _exchange_loads(self, due: LoadExchangeDue) -> None:
+        """Exchange loads between a router and its partner, as serving routers do."""
+        if self.now >= self.config.play_s:
             return
-        self._next_gossip_s = self.now + GOSSIP_INTERVAL_S
-        for zone_index in range(len(ZONES)):
-            zone_routers = self.routers[zone_index :: len(ZONES)]
-            for router in zone_routers[1:]:
-                zone_routers[0].load_gossip.merge(
-                    router.load_gossip.known_loads(self.now), self.now
-                )
-            for router in zone_routers[1:]:
-                router.load_gossip.merge(
-                    zone_routers[0].load_gossip.known_loads(self.now), self.now
-                )
+        router, within_s = due.router, EXCHANGE_INTERVAL_S + OVERLAP_S
+        for registered in router.selector.routers.load_partners(due.turn)[:1]:
+            partner = self.routers[int(registered.name.removeprefix("r"))]
+            received = partner.load_gossip.known_loads(self.now, within_s)
+            sent = router.load_gossip.known_loads(self.now, within_s)
+            partner.load_gossip.merge(sent, self.now)
+            router.load_gossip.merge(received, self.now)
+        next_due = LoadExchangeDue(router, due.turn + 1)
+        self._schedule(self.now + EXCHANGE_INTERVAL_S, next_due)
 
     def _sample_load(self) -> None:
-        """Record the load ratio, exchange load gossip, and schedule the next sample.
+        """Record the load ratio, and schedule the next sample.
 
         The ratio is not recorded at a mean load below 1 call.
         """
@@ -449,6 +458,5 @@
         mean = sum(loads) / len(loads)
         if mean >= 1.0:
             self.load_ratios.append((self.now, max(loads) / mean))
-        self._exchange_loads()
         if self._events:
             self._schedule(self.now + LOAD_SAMPLE_INTERVAL_S, None)
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -10,7 +10,6 @@
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import EndpointDirectory
-from cranberrysail.router.loadgossip import LoadGossip
 from cranberrysail.router.model import EndpointRecord, RouteTables
 from cranberrysail.router.peers import RouterDirectory, encode_router_record
 from cranberrysail.router.recordcache import RecordCache
@@ -326,7 +325,6 @@
         cfg: RouterConfig,
         store: BaseStore,
         state: RoutingState,
-        load_gossip: LoadGossip,
     ) -> None:
         """Create a follower.
 
@@ -334,12 +332,11 @@
           cfg: Settings of the router.
           store: The store.
           state: The state to apply records to.
-          load_gossip: Exchanges loads of endpoints with peers.
         """
         self._cfg = cfg
         self._store = store
         self._state = state
-        self.sources = RecordSources(store, state.routers, state.log, load_gossip)
+        self.sources = RecordSources(store, state.routers, state.log)
         self.cache = RecordCache()
         self.topic_followers = [
             TopicFollower(self.sources, self.cache, topic, state)
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -9,6 +9,7 @@
 """
 
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from cranberrysail.router.endpoints import Endpoint
@@ -26,6 +27,9 @@
 # An endpoint may be silent for this many mean intervals between reports before it is
 # assumed to have fewer calls than the others, as each of its calls brings a report.
 SILENT_INTERVALS = 2.0
+# A report that is newer than the known one by less than this is the same one: its age
+# shifts by the transit time each time it is passed on.
+SAME_REPORT_S = 0.02
 # Lower limit of the mean interval between reports: as many reports arrive at once when
 # routers exchange them.
 MIN_REPORT_INTERVAL_S = 0.5
@@ -83,6 +87,7 @@
         that brought it: at its arrival a call finds the mean number, and adds one.
       other_calls: Those of them that belong to other routers.
       reported_s: Time of the last report.
+      received_s: Time at which it reached this router.
       latency_ratio: Moving average of actual over expected latency.
       interval_ratio: Moving average of actual over expected time between events.
       interval_updated_s: Time of the last update of ``interval_ratio``.
@@ -97,6 +102,7 @@
     reported_calls: int = 0
     other_calls: float = 0.0
     reported_s: float = float("-inf")
+    received_s: float = float("-inf")
     latency_ratio: float = 1.0
     interval_ratio: float = 1.0
     interval_updated_s: float = 0.0
@@ -186,6 +192,8 @@
     """Load and health of all endpoints."""
 
     _stats: dict[tuple[str, int], EndpointStats] = field(default_factory=dict)
+    # Endpoints by incarnation, in the order in which their last reports arrived.
+    _by_arrival: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
 
     def stats(self, endpoint: Endpoint) -> EndpointStats:
         """Return the load and health of an endpoint, creating them if needed."""
@@ -203,8 +211,25 @@
         stats.reported_calls = max(0, load - 1)
         stats.other_calls = max(0, load - endpoint.open_calls)
         stats.reported_s = now
-
-    def record_load(self, endpoint: Endpoint, load: int, at_s: float) -> None:
+        self._mark_received(endpoint, stats, now)
+
+    def _mark_received(
+        self, endpoint: Endpoint, stats: EndpointStats, now: float
+    ) -> None:
+        stats.received_s = now
+        self._by_arrival.pop(endpoint.incarnation, None)
+        self._by_arrival[endpoint.incarnation] = endpoint
+
+    def received_since(self, since_s: float) -> Iterator[Endpoint]:
+        """Return the endpoints whose last report arrived at a time or later."""
+        for endpoint in reversed(self._by_arrival.values()):
+            if self.stats(endpoint).received_s < since_s:
+                return
+            yield endpoint
+
+    def record_load(
+        self, endpoint: Endpoint, load: int, at_s: float, now: float
+    ) -> None:
         """Record a load that another router reports, unless a newer one is known.
 
         This router's own open calls are subtracted to get those of other routers.
@@ -213,13 +238,15 @@
           endpoint: The endpoint.
           load: Its open calls, from all routers, as in ``reported_calls``.
           at_s: Time of the report.
+          now: Current time in seconds.
         """
         stats = self.stats(endpoint)
-        if at_s <= stats.reported_s:
+        if at_s <= stats.reported_s + SAME_REPORT_S:
             return
         stats.reported_calls = load
         stats.other_calls = max(0, load - endpoint.open_calls)
         stats.reported_s = at_s
+        self._mark_received(endpoint, stats, now)
 
     def estimate(
         self, endpoint: Endpoint, typical: float, now: float, residual_s: float
@@ -269,3 +296,4 @@
         """Drop the load and health of all incarnations but the given ones."""
         for incarnation in [i for i in self._stats if i not in incarnations]:
             del self._stats[incarnation]
+            self._by_arrival.pop(incarnation, None)
--- /dev/null
+++ b/cranberrysail/router/loadexchange.py
@@ -0,0 +1,91 @@
+"""Regular exchange of load reports with other routers."""
+
+import asyncio
+import random
+
+import msgspec
+
+from cranberrysail.router.clock import now
+from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.httpstore import HttpStoreClient
+from cranberrysail.router.loadgossip import LOADS_PATH, MAX_SENT_AGE_S, LoadGossip
+from cranberrysail.router.peers import (
+    CONNECT_TIMEOUT_S,
+    RegisteredRouter,
+    RouterDirectory,
+)
+from cranberrysail.router.store import StoreError
+
+__all__ = ["EXCHANGE_INTERVAL_S", "OVERLAP_S", "LoadExchange"]
+
+# Interval between two exchanges of a router. Calls take about a second, and a report
+# that is much older says little about the load at present.
+EXCHANGE_INTERVAL_S = 0.3
+# Maximum time for a response.
+RESPONSE_TIMEOUT_S = 0.5
+# Reports that reached a router this long before the last exchange are sent again, as
+# they may have arrived while it was under way.
+OVERLAP_S = 0.05
+# A partner that failed is not asked again for this time.
+BACKOFF_S = 1.0
+
+
+class LoadExchange:
+    """Exchanges loads with other routers at regular intervals."""
+
+    def __init__(
+        self, load_gossip: LoadGossip, routers: RouterDirectory, log: DecisionLog
+    ) -> None:
+        """Create an instance for one router.
+
+        Args:
+          load_gossip: Loads to share, and where to merge those of others.
+          routers: The registered routers.
+          log: Log of failed exchanges.
+        """
+        self._load_gossip = load_gossip
+        self._routers = routers
+        self._log = log
+        self._clients: dict[str, HttpStoreClient] = {}
+        self._last_exchange_s: dict[str, float] = {}
+        self._backoff_until_s: dict[str, float] = {}
+        self._turn = 0
+
+    async def run(self) -> None:
+        """Exchange loads until cancelled."""
+        while True:
+            # Random, so that the routers of a zone do not ask one router all at once.
+            await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.8, 1.2))
+            self._turn += 1
+            partners = [
+                p
+                for p in self._routers.load_partners(self._turn)
+                if now() >= self._backoff_until_s.get(p.address, 0.0)
+            ]
+            if partners:
+                await self._exchange(partners[0])
+
+    async def _exchange(self, partner: RegisteredRouter) -> None:
+        started_s = now()
+        last_s = self._last_exchange_s.get(partner.address, float("-inf"))
+        within_s = min(MAX_SENT_AGE_S, started_s - last_s + OVERLAP_S)
+        client = self._clients.setdefault(
+            partner.address, HttpStoreClient(partner.address, CONNECT_TIMEOUT_S)
+        )
+        target = f"{LOADS_PATH}?within_ms={within_s * 1000:.0f}"
+        sent = self._load_gossip.encode(started_s, within_s)
+        try:
+            received = await client.request(
+                "loads", "POST", target, sent, RESPONSE_TIMEOUT_S
+            )
+            self._load_gossip.merge_message(received, now())
+        except (StoreError, msgspec.DecodeError) as exc:
+            self._backoff_until_s[partner.address] = now() + BACKOFF_S
+            self._log.write("loads_not_exchanged", peer=partner.name, why=str(exc))
+            return
+        self._last_exchange_s[partner.address] = started_s
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            client.close()
--- a/cranberrysail/router/loadgossip.py
+++ b/cranberrysail/router/loadgossip.py
@@ -3,33 +3,49 @@
 Load reports arrive only with responses, so in a large fleet one router seldom gets a
 report from a given endpoint, and the endpoint that ranks first for a prompt goes on
 receiving calls while few routers know that it is full. Routers therefore share the
-reports they have, in the same requests by which they read store records from each
-other, mostly within their zone.
+reports they have. Every router exchanges loads with one router of its zone, which
+exchanges them with one router of each other zone in turn, so that the messages of a
+router do not grow with the number of zones.
 """
 
 import msgspec
+from xxhash import xxh32_intdigest
 
-from cranberrysail.router.endpoints import EndpointDirectory
-from cranberrysail.router.load import REPORT_MAX_AGE_S, LoadTracker
+from cranberrysail.router.endpoints import Endpoint, EndpointDirectory
+from cranberrysail.router.load import LoadTracker
 
-__all__ = ["LoadGossip", "LoadGossipItem"]
+__all__ = ["LOADS_PATH", "MAX_SENT_AGE_S", "LoadGossip", "LoadGossipItem"]
+
+# Path at which routers exchange loads.
+LOADS_PATH = "/loads"
+
+# Reports older than this are not sent.
+MAX_SENT_AGE_S = 5.0
+# Unit of the age of a report in a message.
+AGE_UNIT_S = 0.01
+# Minimum interval between two runs of the index of endpoints, which takes milliseconds
+# for thousands of them. Reports of endpoints that are not in it are ignored.
+INDEX_INTERVAL_S = 0.5
 
 
 class LoadGossipItem(msgspec.Struct, frozen=True, array_like=True):
     """Load of an endpoint as reported to some router.
 
     Attributes:
-      endpoint_id: Id of the endpoint.
-      started_ms: Start of its incarnation, in milliseconds since the epoch.
+      endpoint: Hash value of the endpoint's id and incarnation.
       load: Open calls at the endpoint, from all routers, without the call that brought
         the report.
-      age_ms: Age of the report.
+      age: Age of the report, in units of 10 ms.
     """
 
-    endpoint_id: str
-    started_ms: int
+    endpoint: int
     load: int
-    age_ms: int
+    age: int
+
+
+def _hash(endpoint: Endpoint) -> int:
+    endpoint_id, started_ms = endpoint.incarnation
+    return xxh32_intdigest(f"{endpoint_id}:{started_ms}".encode())
 
 
 class LoadGossip:
@@ -44,19 +60,38 @@
         """
         self._loads = loads
         self._endpoints = endpoints
+        self._by_hash: dict[int, Endpoint] = {}
+        self._indexed_s = float("-inf")
+        self._decoder = msgspec.msgpack.Decoder(tuple[LoadGossipItem, ...])
+
+    def encode(self, now: float, within_s: float) -> bytes:
+        """Return a message with the load reports that reached this router lately."""
+        return msgspec.msgpack.encode(self.known_loads(now, within_s))
+
+    def merge_message(self, message: bytes, now: float) -> None:
+        """Merge the reports in a message of another router.
 
-    def known_loads(self, now: float) -> tuple[LoadGossipItem, ...]:
-        """Return all load reports that are recent enough to be used."""
+        Raises:
+          msgspec.DecodeError: If the message is invalid.
+        """
+        self.merge(self._decoder.decode(message), now)
+
+    def known_loads(self, now: float, within_s: float) -> tuple[LoadGossipItem, ...]:
+        """Return the load reports that reached this router lately.
+
+        Args:
+          now: Current time in seconds.
+          within_s: Time within which they arrived.
+        """
         items = []
-        for endpoint in self._endpoints:
+        for endpoint in self._loads.received_since(now - within_s):
             stats = self._loads.stats(endpoint)
             age_s = now - stats.reported_s
-            if age_s > REPORT_MAX_AGE_S:
+            if age_s > MAX_SENT_AGE_S:
                 continue
-            endpoint_id, started_ms = endpoint.incarnation
             items.append(
                 LoadGossipItem(
-                    endpoint_id, started_ms, stats.reported_calls, round(age_s * 1000)
+                    _hash(endpoint), stats.reported_calls, round(age_s / AGE_UNIT_S)
                 )
             )
         return tuple(items)
@@ -64,11 +99,18 @@
     def merge(self, items: tuple[LoadGossipItem, ...], now: float) -> None:
         """Merge the reports of another router, except older or unknown ones."""
         for item in items:
-            endpoint = self._endpoints.get(item.endpoint_id)
-            if endpoint is None or endpoint.incarnation != (
-                item.endpoint_id,
-                item.started_ms,
-            ):
+            endpoint = self._find(item.endpoint, now)
+            if endpoint is None:
                 continue
-            at_s = now - max(0, item.age_ms) / 1000
-            self._loads.record_load(endpoint, max(0, item.load), at_s)
+            at_s = now - max(0, item.age) * AGE_UNIT_S
+            self._loads.record_load(endpoint, max(0, item.load), at_s, now)
+
+    def _find(self, hash_value: int, now: float) -> Endpoint | None:
+        endpoint = self._by_hash.get(hash_value)
+        if endpoint is not None and self._endpoints.get(endpoint.id) is endpoint:
+            return endpoint
+        if now - self._indexed_s < INDEX_INTERVAL_S:
+            return None
+        self._indexed_s = now
+        self._by_hash = {_hash(e): e for e in self._endpoints}
+        return self._by_hash.get(hash_value)
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -15,7 +15,7 @@
 from cranberrysail.router.clock import now
 from cranberrysail.router.httplistener import HttpListener, HttpRequest, HttpServerConn
 from cranberrysail.router.httpstore import HttpStoreClient
-from cranberrysail.router.loadgossip import LoadGossip, LoadGossipItem
+from cranberrysail.router.loadgossip import LOADS_PATH, LoadGossip
 from cranberrysail.router.recordcache import RecordCache
 from cranberrysail.router.rendezvous import score
 from cranberrysail.router.store import (
@@ -74,14 +74,12 @@
       records: Encoded records, compressed if they are large enough.
       end: Offset at which the next read begins, as ``Page.next_offset``.
       age_s: Time since the responding router last read the store.
-      loads: Loads of endpoints that the router knows.
       whole: True for a snapshot, as ``Page.is_snapshot``.
     """
 
     records: bytes
     end: int
     age_s: float
-    loads: tuple[LoadGossipItem, ...] = ()
     whole: bool = False
 
 
@@ -168,6 +166,26 @@
             return ordered[: names.index(self._name)][:2]
         return ordered[:2]
 
+    def load_partners(self, turn: int) -> list[RegisteredRouter]:
+        """Return the routers to exchange loads with, in order of preference.
+
+        Args:
+          turn: Number of the exchange; a router that has no preferred peers exchanges
+            loads with a router of another zone, with each zone in turn.
+        """
+        preferred = self.preferred_peers()
+        if preferred:
+            return preferred
+        first_by_zone: dict[str, RegisteredRouter] = {}
+        for peer in self._routers.values():
+            if peer.zone == self._zone or not peer.relays:
+                continue
+            first = first_by_zone.get(peer.zone)
+            if first is None or score("", peer.name) < score("", first.name):
+                first_by_zone[peer.zone] = peer
+        others = [first_by_zone[zone] for zone in sorted(first_by_zone)]
+        return others[turn % len(others) :][:1] if others else []
+
     def fallback_peers(self) -> list[RegisteredRouter]:
         """Return up to four peers to read from if the store fails, own zone first."""
         others = [
@@ -185,15 +203,13 @@
 class PeerStore(BaseStore):
     """The store's records as read from another router."""
 
-    def __init__(self, address: str, load_gossip: LoadGossip) -> None:
+    def __init__(self, address: str) -> None:
         """Create a client.
 
         Args:
           address: ``ip:port`` at which the router serves its peers.
-          load_gossip: Exchanges loads of endpoints with the router.
         """
         self._http = HttpStoreClient(address, CONNECT_TIMEOUT_S)
-        self._load_gossip = load_gossip
         self._decoder = msgspec.msgpack.Decoder(_PeerResponse)
 
     async def read_snapshot(self, topic: Topic) -> Page:
@@ -213,19 +229,13 @@
             f"{RECORDS_PATH}?topic={topic.value}&from={start}"
             f"&wait_ms={wait_s * 1000:.0f}"
         )
-        known_loads = b""
-        if topic is Topic.ENDPOINTS:
-            known_loads = msgspec.msgpack.encode(self._load_gossip.known_loads(now()))
         timeout_s = wait_s + RESPONSE_TIMEOUT_S
-        body = await self._http.request(
-            topic.value, "POST", target, known_loads, timeout_s
-        )
+        body = await self._http.request(topic.value, "POST", target, b"", timeout_s)
         try:
             response = self._decoder.decode(body)
             records = _decode(response.records)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise StoreError(f"the peer's response cannot be decoded ({exc})") from exc
-        self._load_gossip.merge(response.loads, now())
         if response.age_s >= MAX_SINCE_STORE_READ_S:
             raise StalePeerError(f"the peer read the store {response.age_s:.1f} s ago")
         return Page(records, response.end, response.whole)
@@ -275,23 +285,23 @@
     load_gossip: LoadGossip,
     on_error: Callable[[BaseException], None],
 ) -> HttpListener:
-    """Return a server of recent records for peers.
+    """Return a server of recent records and loads for peers.
 
     Args:
       cache: The records.
       since_store_read_s: Returns the time since this router last read the store.
-      load_gossip: Exchanges loads of endpoints with peers.
+      load_gossip: Loads to share, and where to merge those of peers.
       on_error: Called with an unexpected exception.
     """
     encode_records = _CachingEncoder()
-    loads_decoder = msgspec.msgpack.Decoder(tuple[LoadGossipItem, ...])
 
     async def serve(request: HttpRequest, conn: HttpServerConn) -> None:
+        if request.path == LOADS_PATH:
+            _exchange_loads(load_gossip, request, conn)
+            return
         try:
             topic, start, wait_s = _parse_query(request)
-            if request.body:
-                load_gossip.merge(loads_decoder.decode(request.body), now())
-        except (KeyError, ValueError, msgspec.DecodeError):
+        except (KeyError, ValueError):
             conn.send_response(
                 400, BINARY_HEADERS, b"topic, from and wait_ms are needed\n"
             )
@@ -302,12 +312,10 @@
         except OffsetOutOfRangeError:
             conn.send_response(410, BINARY_HEADERS, b"")
             return
-        loads = load_gossip.known_loads(now()) if topic is Topic.ENDPOINTS else ()
         response = _PeerResponse(
             encode_records(page.records),
             page.next_offset,
             since_store_read_s(),
-            loads,
             page.is_snapshot,
         )
         conn.send_response(200, BINARY_HEADERS, msgspec.msgpack.encode(response))
@@ -318,7 +326,27 @@
     return HttpListener(serve, error_response, on_error)
 
 
+def _exchange_loads(
+    load_gossip: LoadGossip, request: HttpRequest, conn: HttpServerConn
+) -> None:
+    try:
+        within_s = float(_query(request)["within_ms"][0]) / 1000
+        # The reply is made first: the peer has no use for its own reports.
+        reply = load_gossip.encode(now(), within_s)
+        load_gossip.merge_message(request.body, now())
+    except (KeyError, ValueError, msgspec.DecodeError):
+        conn.send_response(
+            400, BINARY_HEADERS, b"within_ms and a list of loads are needed\n"
+        )
+        return
+    conn.send_response(200, BINARY_HEADERS, reply)
+
+
+def _query(request: HttpRequest) -> dict[str, list[str]]:
+    return parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+
+
 def _parse_query(request: HttpRequest) -> tuple[Topic, int, float]:
-    query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+    query = _query(request)
     wait_s = min(float(query["wait_ms"][0]) / 1000, MAX_WAIT_S)
     return Topic(query["topic"][0]), int(query["from"][0]), wait_s
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -9,7 +9,7 @@
 the load of all endpoints is too high, the least loaded one gets the call.
 """
 
-import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cranberrysail.router.endpoints import Endpoint
@@ -24,6 +24,8 @@
     "choose_endpoint",
 ]
 
+# Returns samples of the standard normal distribution.
+NormalSampler = Callable[[], float]
 # If the highest-ranked endpoint within the spill load has no free slot, a call queues
 # at the least loaded of this many in rank. A slot becomes free soon, whereas prefilling
 # the prompt at yet another endpoint would lengthen all queues.
@@ -97,9 +99,9 @@
     deprioritized: bool = False
     deviation: float = 0.0
 
-    def sample_load(self, rng: random.Random) -> float:
+    def sample_load(self, normal: NormalSampler) -> float:
         """Return a random load that the endpoint may have."""
-        return rng.gauss(self.load, self.deviation)
+        return self.load + self.deviation * normal()
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +137,7 @@
     zone: str,
     bound: PlacementBound,
     spill_load: float,
-    rng: random.Random,
+    normal: NormalSampler,
 ) -> Placement | None:
     """Return the endpoint for a call, or None if there is no candidate.
 
@@ -145,41 +147,41 @@
       zone: The router's availability zone.
       bound: Gives the penalty for another zone, for a call without a prompt.
       spill_load: Load above which calls spill to the next endpoint in rank.
-      rng: Samples the loads, so that routers with the same reports choose differently.
+      normal: Samples the loads, so that routers with the same reports choose
+        differently.
     """
     if not candidates:
         return None
     available = [c for c in candidates if not c.deprioritized] or candidates
     if not prefix_id:
 
-        def zone_weighted_load(candidate: Candidate) -> float:
+        def sort_key(candidate: Candidate) -> tuple[float, float]:
             same_zone = candidate.endpoint.record.zone == zone
             penalty = 0.0 if same_zone else bound.cross_zone_calls
-            return candidate.sample_load(rng) + penalty
+            # Endpoints of equal load are chosen at random.
+            return candidate.sample_load(normal) + penalty, normal()
 
-        # Endpoints of equal load are chosen at random.
-        shuffled = rng.sample(available, len(available))
-        return Placement(min(shuffled, key=zone_weighted_load))
+        return Placement(min(available, key=sort_key))
     ranked = sorted(
         available, key=lambda c: score(prefix_id, c.endpoint.id), reverse=True
     )
-    chosen = _choose_ranked(ranked, spill_load, rng)
+    chosen = _choose_ranked(ranked, spill_load, normal)
     return Placement(chosen, ranked.index(chosen))
 
 
 def _choose_ranked(
-    ranked: list[Candidate], spill_load: float, rng: random.Random
+    ranked: list[Candidate], spill_load: float, normal: NormalSampler
 ) -> Candidate:
     within_spill_load = []
     for candidate in ranked:
-        if candidate.sample_load(rng) > spill_load:
+        if candidate.sample_load(normal) > spill_load:
             continue
         if not within_spill_load and candidate.load < candidate.slots:
             return candidate
         within_spill_load.append(candidate)
         if len(within_spill_load) == QUEUE_CANDIDATES:
             return min(within_spill_load, key=lambda c: c.load)
-    return min(within_spill_load or ranked, key=lambda c: c.sample_load(rng))
+    return min(within_spill_load or ranked, key=lambda c: c.sample_load(normal))
 
 
 def choose_cache_source(
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -23,6 +23,7 @@
 from cranberrysail.router.headercodec import BaseHeaderCodec
 from cranberrysail.router.httplistener import HttpListener
 from cranberrysail.router.load import LoadTracker
+from cranberrysail.router.loadexchange import LoadExchange
 from cranberrysail.router.loadgossip import LoadGossip
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.peers import RouterDirectory, create_peer_server
@@ -77,7 +78,8 @@
         )
         loads = LoadTracker()
         self.load_gossip = LoadGossip(loads, self.endpoints)
-        self.follower = Follower(cfg, store, self.routing_state, self.load_gossip)
+        self.load_exchange = LoadExchange(self.load_gossip, self.routers, self.log)
+        self.follower = Follower(cfg, store, self.routing_state)
         self.selector = Selector(
             cfg, self.endpoints, loads, self.routers, random.Random()
         )
@@ -205,6 +207,7 @@
         if self._settings is not None:
             self._spawn(self._watch_settings())
         self._spawn(self.follower.run())
+        self._spawn(self.load_exchange.run())
         self.log.write("started", zone=self.cfg.zone, callers=self.cfg.callers)
 
     async def _listen(self, address: str, listener: HttpListener) -> None:
@@ -292,3 +295,4 @@
             task.cancel()
         self.call_handler.attempt_runner.connection_pool.close()
         self.follower.sources.close()
+        self.load_exchange.close()
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -5,7 +5,6 @@
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.decisionlog import DecisionLog
-from cranberrysail.router.loadgossip import LoadGossip
 from cranberrysail.router.peers import PeerStore, RegisteredRouter, RouterDirectory
 from cranberrysail.router.store import (
     BaseStore,
@@ -50,14 +49,12 @@
       store: The store.
       routers: The registered routers, including this one.
       log: Log of failed reads.
-      load_gossip: Exchanges loads of endpoints with peers.
       store_last_read_s: Time at which the store last responded.
     """
 
     store: BaseStore
     routers: RouterDirectory
     log: DecisionLog
-    load_gossip: LoadGossip
     store_last_read_s: float = float("-inf")
     _store_retry_at_s: float = 0.0
     _store_read_started_s: dict[Topic, float] = field(default_factory=dict)
@@ -147,9 +144,7 @@
         backoff = self._backoffs.setdefault(peer.address, _Backoff())
         if now() < backoff.until_s:
             return None
-        client = self._clients.setdefault(
-            peer.address, PeerStore(peer.address, self.load_gossip)
-        )
+        client = self._clients.setdefault(peer.address, PeerStore(peer.address))
         try:
             page = await client.read(topic, start, wait_s)
         except StalePeerError:
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -195,7 +195,12 @@
         mean_load = self._mean_load(service_name, now)
         spill_load = bound.spill_load(mean_load, len(self.routers))
         placement = choose_endpoint(
-            candidates, prefix_id, self.cfg.zone, bound, spill_load, self.rng
+            candidates,
+            prefix_id,
+            self.cfg.zone,
+            bound,
+            spill_load,
+            lambda: self.rng.gauss(0.0, 1.0),
         )
         chosen = placement.candidate
         service_time_s = self.service_time.mean_s(service_name, ASSUMED_SERVICE_TIME_S)
--- a/tests/router/test_load.py
+++ b/tests/router/test_load.py
@@ -82,7 +82,7 @@
         loads.append(still_open + arrived)
     book = LoadTracker()
     one = endpoint()
-    book.record_load(one, reported, 10.0)
+    book.record_load(one, reported, 10.0, 10.0)
     estimate = book.estimate(one, typical, 10.0 + age_s, residual_s)
     assert estimate.mean == pytest.approx(statistics.mean(loads), rel=0.03)
     assert estimate.deviation == pytest.approx(statistics.stdev(loads), rel=0.05)
@@ -93,7 +93,8 @@
     rng = random.Random(1)
     endpoints = [endpoint(str(number)) for number in range(400)]
     for each in endpoints:
-        book.record_load(each, rng.choice((2, 4, 9)), 10.0 - rng.expovariate(1.0))
+        at_s = 10.0 - rng.expovariate(1.0)
+        book.record_load(each, rng.choice((2, 4, 9)), at_s, 10.0)
     believed = statistics.mean(book.other_calls(endpoints, 10.0))
     assert believed == pytest.approx(5.0, rel=0.07)
 
@@ -163,7 +164,7 @@
     for step in range(1, 40):
         now = step / 10
         for each in busy:
-            selector.loads.record_load(each, 6, now)
+            selector.loads.record_load(each, 6, now, now)
     choice = selector.choose(TABLES, "s", (), set(), 1.0, 4.0)
     true_mean = 6 * len(busy) / (len(busy) + len(idle))
     assert choice.mean_load == pytest.approx(true_mean, rel=0.2)
@@ -175,6 +176,6 @@
         selector, busy, idle = make_selector(seed)
         selector.record_service_time("s", 0.1)
         for number, each in enumerate(busy + idle):
-            selector.loads.record_load(each, 1 if number == 3 else 5, 4.0)
+            selector.loads.record_load(each, 1 if number == 3 else 5, 4.0, 4.0)
         chosen[selector.choose(TABLES, "s", (), set(), 1.0, 5.0).endpoint.id] += 1
     assert max(chosen.values()) < 200 / 4
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -21,6 +21,10 @@
 RNG = random.Random(1)
 
 
+def normal():
+    return RNG.gauss(0.0, 1.0)
+
+
 def endpoint(number, zone="a"):
     record = EndpointRecord(f"e{number}", 1, 1, "s", f"10.0.0.{number}:80", zone, 64)
     return Endpoint(record, EndpointState.READY, 0.0)
@@ -35,7 +39,7 @@
     usable = [e for e in endpoints if e.record.zone not in zones_out]
     mean = sum(e.open_calls for e in endpoints) / len(endpoints)
     spill_load = BOUND.spill_load(mean, ROUTERS)
-    placement = choose_endpoint(candidates(usable), key, "a", BOUND, spill_load, RNG)
+    placement = choose_endpoint(candidates(usable), key, "a", BOUND, spill_load, normal)
     return placement.candidate.endpoint
 
 
@@ -94,12 +98,12 @@
     endpoints = [endpoint(n) for n in range(3)]
     home = place(endpoints, "manual").id
     placement = choose_endpoint(
-        candidates(endpoints, {home}), "manual", "a", BOUND, 0.0, RNG
+        candidates(endpoints, {home}), "manual", "a", BOUND, 0.0, normal
     )
     assert placement.candidate.endpoint.id != home
     everyone = {e.id for e in endpoints}
     assert choose_endpoint(
-        candidates(endpoints, everyone), "manual", "a", BOUND, 0.0, RNG
+        candidates(endpoints, everyone), "manual", "a", BOUND, 0.0, normal
     )
 
 
