Choose among two full homes by a sample of their loads, too

The test failed: 400 of 400 at one home, at loads of 70 and 68 with a deviation of 8. They now go by the samples already taken.

--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -172,16 +172,18 @@
 def _choose_ranked(
     ranked: list[Candidate], spill_load: float, normal: NormalSampler
 ) -> Candidate:
-    within_spill_load = []
+    within_spill_load: list[tuple[float, Candidate]] = []
     for candidate in ranked:
-        if candidate.sample_load(normal) > spill_load:
+        load = candidate.sample_load(normal)
+        if load > spill_load:
             continue
-        if not within_spill_load and candidate.load < candidate.slots:
+        if not within_spill_load and load < candidate.slots:
             return candidate
-        within_spill_load.append(candidate)
+        within_spill_load.append((load, candidate))
         if len(within_spill_load) == QUEUE_CANDIDATES:
-            return min(within_spill_load, key=lambda c: c.load)
-    return min(within_spill_load or ranked, key=lambda c: c.sample_load(normal))
+            break
+    options = within_spill_load or [(c.sample_load(normal), c) for c in ranked]
+    return min(options, key=lambda option: option[0])[1]
 
 
 def choose_cache_source(
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -11,6 +11,7 @@
     choose_endpoint,
     shared_prefix_id,
 )
+from cranberrysail.router.rendezvous import score
 
 BOUND = PlacementBound()
 # Required bound: an engine has at most twice the mean load of its service plus three.
@@ -143,6 +144,21 @@
     assert place(endpoints, "manual") is home
 
 
+def test_routers_with_the_same_old_reports_do_not_all_queue_at_one_home():
+    ranked = sorted(
+        (endpoint(n) for n in range(9)), key=lambda e: score("k", e.id), reverse=True
+    )
+    loads = [70, 68] + [90] * 7
+    full = [
+        Candidate(e, load, 64, False, 8.0)
+        for e, load in zip(ranked, loads, strict=True)
+    ]
+    chosen = [
+        choose_endpoint(full, "k", "a", BOUND, 1000.0, normal).rank for _ in range(400)
+    ]
+    assert 400 * 0.25 < chosen.count(0) < 400 * 0.75
+
+
 def test_spill_load_falls_as_fleet_grows():
     spill_loads = [
         BOUND.spill_load(10.0, routers) for routers in (0, 8, 20, 40, 80, 400)
