Loads: calls that take no time, a first router of a zone that is down, names

The residual time of calls divided by their mean duration, which may be 0 (the test raised ZeroDivisionError). While the router by which a zone exchanges loads with others is down, the next in rank exchanges them. A method and an attribute had one name.

--- a/cranberrysail/benchmark/simulation.py
+++ b/cranberrysail/benchmark/simulation.py
@@ -67,7 +67,7 @@
     def expected_loads(self, endpoints: list[Endpoint], now: float) -> dict[str, float]:
         """Return the expected open calls at each endpoint by its id."""
         loads = self.selector.loads
-        typical = sum(loads.other_calls(endpoints, now)) / len(endpoints)
+        typical = sum(loads.expected_other_calls(endpoints, now)) / len(endpoints)
         residual_s = self.selector.residual_time_s(SERVICE)
         return {
             e.id: loads.estimate(e, typical, now, residual_s).mean for e in endpoints
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -268,7 +268,9 @@
             math.sqrt(still_open * (1.0 - open_fraction) + arrived),
         )
 
-    def other_calls(self, endpoints: list[Endpoint], now: float) -> list[float]:
+    def expected_other_calls(
+        self, endpoints: list[Endpoint], now: float
+    ) -> list[float]:
         """Return the expected number of other routers' calls at each endpoint.
 
         An endpoint reports with each call, so one that has been silent for long has few
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -169,13 +169,12 @@
     def load_partners(self, turn: int) -> list[RegisteredRouter]:
         """Return the routers to exchange loads with, in order of preference.
 
+        They are the preferred peers, and a router of another zone: the router that has
+        no preferred peers connects its zone with the others.
+
         Args:
-          turn: Number of the exchange; a router that has no preferred peers exchanges
-            loads with a router of another zone, with each zone in turn.
+          turn: Number of the exchange; the other zones take turns.
         """
-        preferred = self.preferred_peers()
-        if preferred:
-            return preferred
         first_by_zone: dict[str, RegisteredRouter] = {}
         for peer in self._routers.values():
             if peer.zone == self._zone or not peer.relays:
@@ -184,7 +183,8 @@
             if first is None or score("", peer.name) < score("", first.name):
                 first_by_zone[peer.zone] = peer
         others = [first_by_zone[zone] for zone in sorted(first_by_zone)]
-        return others[turn % len(others) :][:1] if others else []
+        next_other = others[turn % len(others) :][:1] if others else []
+        return self.preferred_peers() + next_other
 
     def fallback_peers(self) -> list[RegisteredRouter]:
         """Return up to four peers to read from if the store fails, own zone first."""
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -29,6 +29,8 @@
 MIN_EVENTS = 8
 # Time that a call is assumed to occupy a slot before the first sample, in seconds.
 ASSUMED_SERVICE_TIME_S = 0.1
+# Lower limit of the time for which a call found open stays open.
+MIN_RESIDUAL_TIME_S = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +152,9 @@
         """
         mean_s = self.service_time.mean_s(service, ASSUMED_SERVICE_TIME_S)
         mean_square = self._squared_service_time.mean_s(service, 2 * mean_s * mean_s)
-        return mean_square / (2 * mean_s)
+        if mean_s <= 0:
+            return MIN_RESIDUAL_TIME_S
+        return max(MIN_RESIDUAL_TIME_S, mean_square / (2 * mean_s))
 
     def choose_service(self, route: Route) -> str:
         """Return a service of the route, chosen at random by weight."""
@@ -229,7 +233,7 @@
         one endpoint is defined as a multiple of the mean over all of them.
         """
         endpoints = [e for e in self.endpoints if e.record.service == service]
-        other_calls = self.loads.other_calls(endpoints, now)
+        other_calls = self.loads.expected_other_calls(endpoints, now)
         total = sum(
             e.open_calls + (0.0 if self._is_excluded(e) else calls)
             for e, calls in zip(endpoints, other_calls, strict=True)
@@ -272,7 +276,7 @@
     def _candidates(
         self, endpoints: list[Endpoint], now: float, residual_s: float
     ) -> list[Candidate]:
-        other_calls = self.loads.other_calls(endpoints, now)
+        other_calls = self.loads.expected_other_calls(endpoints, now)
         typical = sum(other_calls) / len(other_calls)
         unreachable = self.endpoints.unreachable_zones(now)
         # In a zone of which at least half the endpoints fail, those that have not
--- a/tests/router/test_load.py
+++ b/tests/router/test_load.py
@@ -95,7 +95,7 @@
     for each in endpoints:
         at_s = 10.0 - rng.expovariate(1.0)
         book.record_load(each, rng.choice((2, 4, 9)), at_s, 10.0)
-    believed = statistics.mean(book.other_calls(endpoints, 10.0))
+    believed = statistics.mean(book.expected_other_calls(endpoints, 10.0))
     assert believed == pytest.approx(5.0, rel=0.07)
 
 
@@ -170,6 +170,13 @@
     assert choice.mean_load == pytest.approx(true_mean, rel=0.2)
 
 
+def test_calls_that_take_no_time_do_not_break_the_choice():
+    selector, busy, _ = make_selector()
+    selector.record_service_time("s", 0.0)
+    selector.loads.record_load(busy[0], 3, 1.0, 1.0)
+    assert selector.choose(TABLES, "s", (), set(), 1.0, 1.5).endpoint
+
+
 def test_routers_with_the_same_old_reports_do_not_all_choose_one_endpoint():
     chosen = Counter()
     for seed in range(200):
--- a/tests/router/test_loadgossip.py
+++ b/tests/router/test_loadgossip.py
@@ -181,3 +181,25 @@
         else:
             exchanging[zone] = zones
     assert exchanging == {z: set("abcd") - {z} for z in "abcd"}
+
+
+def test_loads_still_spread_if_the_first_router_of_a_zone_is_down():
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        world.write_config(make_config())
+        world.add_worker("e0", "engines", stream_answer, slots=64)
+        for number in (1, 2, 3):
+            await world.start_router(name=f"r{number}", host=f"10.0.0.{number}")
+        await asyncio.sleep(2.0)
+        routers = world.routers.values()
+        first = next(r for r in routers if not r.routers.preferred_peers())
+        first.close()
+        loop.servers.pop((first.cfg.peers.partition(":")[0], 8003))
+        one, other = [r for r in routers if r is not first]
+        await asyncio.sleep(2.0)
+        endpoint = one.endpoints.get("e0")
+        one.selector.loads.record_report(endpoint, LoadReport(7, 2, 64), loop.time())
+        await asyncio.sleep(2.0)
+        return other.selector.loads.stats(other.endpoints.get("e0")).reported_calls
+
+    assert run_virtual(main) == 8
