--- a/tests/benchmark/test_simulation.py
+++ b/tests/benchmark/test_simulation.py
@@ -92,14 +92,22 @@
 
 
 @pytest.mark.parametrize(
-    ("sheet", "from_s"), [("guides-joins", 6.5), ("authors-joins", 3.0)]
+    ("sheet", "from_s", "seed"),
+    [
+        ("guides-joins", 6.5, 1),
+        ("authors-joins", 3.0, 1),
+        ("authors-joins", 3.0, 3),
+        ("authors-joins", 3.0, 4),
+    ],
 )
-def test_engines_are_not_overloaded_while_cold_ones_join_a_large_fleet(sheet, from_s):
+def test_engines_are_not_overloaded_while_cold_ones_join_a_large_fleet(
+    sheet, from_s, seed
+):
     """At most 3 % of calls go to overloaded engines in any 5 s (the users' bound)."""
     config = jsonc.load_model(SHEETS / f"{sheet}.jsonc", SimulationConfig).ok
-    arrivals = generate_arrivals(config, 1.0, 1)
+    arrivals = generate_arrivals(config, 1.0, seed)
     policy = POLICIES.get("as the product")()
-    simulation = Simulation(config, arrivals, policy, 1).run()
+    simulation = Simulation(config, arrivals, policy, seed).run()
     assert simulation.max_overload_fraction(5.0, from_s) <= 0.03
 
 
--- a/tests/router/test_explain.py
+++ b/tests/router/test_explain.py
@@ -51,6 +51,28 @@
     assert "elsewhere" not in text
 
 
+def test_placement_is_explained_with_what_the_router_believed():
+    placed = line(
+        10.0,
+        "placed",
+        id="a",
+        endpoint="e1",
+        route="chat",
+        attempt=1,
+        load=3.1,
+        mean=2.9,
+        spill_load=7.9,
+        report_age_s=0.42,
+        of=5,
+        rank=0,
+    )
+    (sentence,) = explain_request(parse_lines([placed]), "a")
+    assert (
+        "load 3.1 by a report 0.42 s old, mean 2.9, calls spill above 7.9" in sentence
+    )
+    assert "5 candidates, rank 0" in sentence
+
+
 def test_unknown_id_is_an_error_with_advice():
     with pytest.raises(NoSuchRequestError, match="logs of all routers"):
         explain_request(parse_lines(LOG), "zzz")
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -47,6 +47,19 @@
     assert b"cranberrysail-response-seal: s" in caller.data
 
 
+def test_placement_is_logged_with_what_the_router_believed():
+    async def main(world):
+        await world.send_and_wait(make_request("/chat/1"))
+        await world.send_and_wait(make_request("/book/1"))
+        return [fields for kind, fields in world.log_lines if kind == "placed"]
+
+    chat, booking = run_scenario(main)
+    for fields in (chat, booking):
+        assert {"mean", "spill_load", "rank", "report_age_s"} <= fields.keys()
+        assert fields["spill_load"] > fields["mean"]
+    assert booking["rank"] is None
+
+
 def test_head_response_is_forwarded_without_a_body():
     async def answer_without_body(conn, received):
         attempt = received.headers["cranberrysail-attempt-id"]
