Log how far an endpoint's response came, and what delimited its body

Lines of delivered and ended attempts get status, framing, body_bytes, whole_events and partial_bytes; explain prints them. No decision changes.

--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to run a call at an endpoint."""
 
 import asyncio
+from dataclasses import replace
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.call import Call
@@ -17,7 +18,7 @@
 from cranberrysail.router.httpclient import HttpClientConn
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.model import CallKind
-from cranberrysail.router.outcome import Attempt, AttemptResult
+from cranberrysail.router.outcome import Attempt, AttemptResult, ReceivedResponse
 from cranberrysail.router.selector import Choice, Selector
 from cranberrysail.router.sse import EVENT_END
 
@@ -111,15 +112,16 @@
         endpoint = choice.endpoint
         release = True
         try:
-            return await self._send_and_receive(call, choice, conn, pending_id)
+            attempt = await self._send_and_receive(call, choice, conn, pending_id)
         except UpstreamError as exc:
-            return self._on_connection_failed(call, endpoint, exc)
+            attempt = self._on_connection_failed(call, endpoint, exc)
         except asyncio.CancelledError:
             release = not self._detach(call, endpoint, conn)
             raise
         finally:
             if release:
                 self.connection_pool.release(endpoint, conn)
+        return replace(attempt, received=_received_response(call, conn))
 
     def _on_connection_failed(
         self, call: Call, endpoint: Endpoint, exc: UpstreamError
@@ -351,5 +353,17 @@
             await call.caller_conn.write(events)
 
 
+def _received_response(call: Call, conn: HttpClientConn) -> ReceivedResponse | None:
+    if not conn.status:
+        return None
+    return ReceivedResponse(
+        conn.status,
+        conn.framing,
+        conn.body_bytes,
+        call.event_splitter.event_count,
+        len(call.event_splitter.tail),
+    )
+
+
 def _without_hop_by_hop(headers: Headers) -> Headers:
     return [(name, value) for name, value in headers if name not in HOP_BY_HOP]
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -20,7 +20,7 @@
     HttpServerConn,
 )
 from cranberrysail.router.metrics import RouterMetrics
-from cranberrysail.router.model import Customer, Route, RouteTables
+from cranberrysail.router.model import CallKind, Customer, Route, RouteTables
 from cranberrysail.router.outcome import Attempt, AttemptResult, NextStep, next_step
 from cranberrysail.router.retrybudget import RetryBudget
 from cranberrysail.router.selector import Choice, Selector
@@ -230,7 +230,7 @@
             attempt = await self.attempt_runner.run(call, choice)
             self._metrics.count("attempts", attempt.result.value)
             if attempt.result is AttemptResult.DELIVERED:
-                self._log_delivered(call, choice.endpoint)
+                self._log_delivered(call, choice.endpoint, attempt)
                 return
             if not self._on_not_delivered(call, choice.endpoint, attempt):
                 return
@@ -255,7 +255,7 @@
             attempt=len(call.tried) + 1,
         )
 
-    def _log_delivered(self, call: Call, endpoint: Endpoint) -> None:
+    def _log_delivered(self, call: Call, endpoint: Endpoint, attempt: Attempt) -> None:
         elapsed_s = now() - call.request.arrived_s
         self._metrics.observe("call", elapsed_s)
         self._log.write(
@@ -265,6 +265,7 @@
             ms=round(elapsed_s * 1000),
             first_ms=round(call.latency_s * 1000),
             late=call.latency_s > call.route.target_latency_s,
+            **_response_fields(call, attempt),
         )
 
     def _on_not_delivered(
@@ -297,6 +298,7 @@
             # Whether the retry budget allowed a retry; also true if none was due.
             repeat_budget=within_budget,
             next=step,
+            **_response_fields(call, attempt),
         )
         if step is NextStep.SEND_AGAIN:
             call.event_splitter.discard_tail()
@@ -355,5 +357,21 @@
         self._selector.loads.retain(incarnations)
 
 
+def _response_fields(call: Call, attempt: Attempt) -> dict[str, object]:
+    """Return the log fields that tell how far an endpoint's response came."""
+    received = attempt.received
+    if received is None:
+        return {}
+    fields = {
+        "status": received.status,
+        "framing": received.framing,
+        "body_bytes": received.body_bytes,
+    }
+    if call.route.kind is CallKind.STREAM:
+        fields["whole_events"] = received.whole_events
+        fields["partial_bytes"] = received.partial_bytes
+    return fields
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 2)
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -121,8 +121,8 @@
 def _attempt_ended(line: LogLine) -> str:
     return (
         f"attempt at {line.get('endpoint')} ended with {line.get('result')}: "
-        f"{line.get('why')}; executed at most {line.get('ran')} times so far; "
-        f"next step: {line.get('next')}"
+        f"{line.get('why')}{_response(line)}; executed at most {line.get('ran')} times "
+        f"so far; next step: {line.get('next')}"
     )
 
 
@@ -132,7 +132,23 @@
     late = ", later than the route's target" if line.get("late") else ""
     return (
         f"response of {line.get('endpoint')} delivered after "
-        f"{line.get('ms')} ms, {first}{late}"
+        f"{line.get('ms')} ms, {first}{late}{_response(line)}"
+    )
+
+
+def _response(line: LogLine) -> str:
+    """Describe how far an endpoint's response came, if its head was received."""
+    if "framing" not in line:
+        return ""
+    events = ""
+    if "whole_events" in line:
+        events = (
+            f", {line['whole_events']} whole events, {line.get('partial_bytes')} bytes "
+            "after the last one"
+        )
+    return (
+        f"; status {line.get('status')}, body delimited by {line['framing']}, "
+        f"{line.get('body_bytes')} bytes received{events}"
     )
 
 
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -9,6 +9,7 @@
 import httptools
 
 from cranberrysail.errors import UpstreamError
+from cranberrysail.router.bodyframing import BodyFraming, response_framing
 from cranberrysail.router.clock import now
 
 __all__ = ["HttpClientConn", "connect"]
@@ -52,6 +53,8 @@
       status: Status of the response, 0 before its head was received.
       headers: Headers of the response, names in lower case, after any trailers of the
         previous one.
+      framing: What delimits the body of the response.
+      body_bytes: Bytes of the body received so far.
       complete: True once the whole response was received.
       reusable: False once the connection must not carry another request.
       idle_since_s: Time at which the last response was complete.
@@ -69,12 +72,13 @@
         self._failure_reason: str | None = None
         self._busy = False
         self._skipping = False
-        self._self_delimiting = True
         self._parsed_headers: list[tuple[bytes, bytes]] = []
         self._match: ResponseMatcher | None = None
         self._bodiless = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
+        self.framing = BodyFraming.NONE
+        self.body_bytes = 0
         self.complete = False
         self.reusable = True
         self.idle_since_s = now()
@@ -101,7 +105,7 @@
         if (
             self._busy
             and self.status
-            and not self._self_delimiting
+            and self.framing is BodyFraming.CLOSE
             and not self._skipping
         ):
             self._finish()
@@ -131,14 +135,9 @@
             self._skipping = True
             self.reusable = False
             return
-        names = {name for name, _ in headers}
         self.status, self.headers = status, headers
-        # Without a length, chunks or a status that excludes a body, a body ends with
-        # the connection (RFC 9112, section 6.3).
-        self._self_delimiting = bool(names & {b"content-length", b"transfer-encoding"})
-        self._self_delimiting = (
-            self._self_delimiting or self._bodiless or status in (204, 304)
-        )
+        names = frozenset(name for name, _ in headers)
+        self.framing = response_framing(status, names, self._bodiless)
         if self._bodiless:
             self._finish()
         self._wake()
@@ -151,6 +150,7 @@
             self.reusable = False
             return
         self._chunks.append(body)
+        self.body_bytes += len(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > HIGH_WATER_BYTES and not self._reading_paused:
             self._reading_paused = True
@@ -165,7 +165,7 @@
         if self.complete:
             self.reusable = False
             return
-        if self.status and self._self_delimiting:
+        if self.status and self.framing is not BodyFraming.CLOSE:
             self._finish()
 
     def _finish(self) -> None:
@@ -173,7 +173,7 @@
         self.idle_since_s = now()
         # Unsent bytes mean that the server responded before it read the whole request,
         # so it may not read the rest.
-        if not self._self_delimiting or self._transport.get_write_buffer_size():
+        if self.framing is BodyFraming.CLOSE or self._transport.get_write_buffer_size():
             self.reusable = False
         self._wake()
 
@@ -237,6 +237,8 @@
         self._busy = True
         self.status = 0
         self.headers = []
+        self.framing = BodyFraming.NONE
+        self.body_bytes = 0
         self.complete = False
         self._chunks.clear()
         self._buffered_bytes = 0
--- a/cranberrysail/router/outcome.py
+++ b/cranberrysail/router/outcome.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cranberrysail.router.bodyframing import BodyFraming
 from cranberrysail.router.model import Route
 
-__all__ = ["Attempt", "AttemptResult", "NextStep", "next_step"]
+__all__ = ["Attempt", "AttemptResult", "NextStep", "ReceivedResponse", "next_step"]
 
 
 class AttemptResult(StrEnum):
@@ -32,16 +33,37 @@
     BROKEN_OFF = "broken_off"
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedResponse:
+    """What was received of an endpoint's response, for the log.
+
+    Attributes:
+      status: HTTP status.
+      framing: What delimits the body.
+      body_bytes: Bytes of the body that were received.
+      whole_events: Complete events of the call's stream so far, over all attempts.
+      partial_bytes: Bytes after the last complete event.
+    """
+
+    status: int
+    framing: BodyFraming
+    body_bytes: int
+    whole_events: int
+    partial_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """A finished attempt.
 
     Attributes:
       why: Reason for the result, for the log.
+      received: The endpoint's response; None if no head was received.
     """
 
     result: AttemptResult
     why: str = ""
+    received: ReceivedResponse | None = None
 
 
 class NextStep(StrEnum):
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -20,11 +20,13 @@
     Attributes:
       last_id: Id of the last complete event that has one.
       tail: Bytes of the incomplete event at the end.
+      event_count: Number of complete events.
     """
 
     def __init__(self) -> None:
         self.last_id = b""
         self.tail = b""
+        self.event_count = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the events that it completes."""
@@ -36,6 +38,7 @@
         end += len(EVENT_END)
         self.tail = data[end:]
         events = data[:end]
+        self.event_count += events.count(EVENT_END)
         self.last_id = last_event_id(events) or self.last_id
         return events
 
--- a/tests/router/test_explain.py
+++ b/tests/router/test_explain.py
@@ -51,6 +51,27 @@
     assert "elsewhere" not in text
 
 
+def test_interrupted_response_is_explained_with_how_far_it_came():
+    ended = line(
+        10.0,
+        "attempt_ended",
+        id="a",
+        endpoint="e1",
+        result="broken_off",
+        why="reset",
+        status=200,
+        framing="close",
+        body_bytes=57,
+        whole_events=2,
+        partial_bytes=9,
+    )
+    (sentence,) = explain_request(parse_lines([ended]), "a")
+    assert (
+        "status 200, body delimited by close, 57 bytes received, 2 whole events, 9 "
+        "bytes after the last one"
+    ) in sentence
+
+
 def test_placement_is_explained_with_what_the_router_believed():
     placed = line(
         10.0,
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -60,6 +60,18 @@
     assert booking["rank"] is None
 
 
+def test_delivery_is_logged_with_what_delimited_the_response():
+    async def main(world):
+        await world.send_and_wait(make_request("/chat/1"))
+        await world.send_and_wait(make_request("/book/1"))
+        return [fields for kind, fields in world.log_lines if kind == "delivered"]
+
+    chat, booking = run_scenario(main)
+    assert (chat["status"], chat["framing"]) == (200, "chunked")
+    assert (chat["whole_events"], chat["partial_bytes"]) == (3, 0)
+    assert (booking["framing"], booking["body_bytes"]) == ("length", 4)
+
+
 def test_head_response_is_forwarded_without_a_body():
     async def answer_without_body(conn, received):
         attempt = received.headers["cranberrysail-attempt-id"]
