--- /dev/null
+++ b/tests/router/test_interrupted_responses.py
@@ -0,0 +1,116 @@
+"""Responses that endpoints break off: whatever reaches a caller never looks whole."""
+
+import asyncio
+
+import pytest
+
+from tests.router.simulatedfleet import (
+    SEAL,
+    SimulatedFleet,
+    make_config,
+    make_request,
+    stream_answer,
+)
+from tests.router.virtualloop import run_virtual
+
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+FIRST_EVENT = b"id: 1\ndata: part 1\n\n"
+PART_OF_AN_EVENT = b"id: 2\ndata: pa"
+
+
+def respond(body, framing="", status=200):
+    """Return a behaviour of a worker that sends a body and closes its connection.
+
+    Args:
+      body: Bytes that follow the head, with chunk framing if there is any.
+      framing: Header line by which the body is delimited, empty for none.
+      status: Status of the response.
+    """
+
+    async def answer(conn, received):
+        attempt = received.headers["cranberrysail-attempt-id"]
+        head = f"HTTP/1.1 {status} X\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+        conn.transport.write(f"{head}{framing}\r\n".encode() + body)
+        await asyncio.sleep(0.1)
+        conn.transport.close()
+
+    return answer
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def send_to(answers, data):
+    """Send one request to a router whose workers answer in turn as given.
+
+    Returns the caller, and the number of requests that workers received.
+    """
+    turns = iter(answers)
+
+    async def answer_in_turn(conn, received):
+        await next(turns)(conn, received)
+
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        world.write_config(make_config())
+        for number in range(2):
+            world.add_worker(f"e{number}", "engines", answer_in_turn, slots=64)
+            world.add_worker(f"p{number}", "plain", answer_in_turn)
+        await world.start_router()
+        caller = await world.send_and_wait(data)
+        return caller, sum(len(w.requests) for w in world.workers.values())
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [
+        respond(FIRST_EVENT + PART_OF_AN_EVENT),
+        respond(chunk(FIRST_EVENT + PART_OF_AN_EVENT) + b"0\r\n\r\n", CHUNKED),
+        respond(
+            FIRST_EVENT + PART_OF_AN_EVENT,
+            f"Content-Length: {len(FIRST_EVENT + PART_OF_AN_EVENT)}\r\n",
+        ),
+    ],
+    ids=["delimited-by-close", "chunked", "with-length"],
+)
+def test_stream_that_ends_inside_an_event_never_looks_complete(cut):
+    caller, _ = send_to([cut], make_request("/chat/1"))
+    assert FIRST_EVENT in caller.data
+    assert caller.closed
+    assert not caller.is_complete
+
+
+def test_stream_that_ends_inside_an_event_is_resumed_if_the_route_allows_it():
+    cut = respond(FIRST_EVENT + PART_OF_AN_EVENT)
+    caller, sent = send_to([cut, stream_answer], make_request("/resumable/1"))
+    assert sent == 2
+    assert caller.is_complete
+    assert [caller.data.count(b"data: part %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
+
+
+def test_stream_that_closes_before_its_first_event_is_not_delivered():
+    caller, _ = send_to([respond(b"")], make_request("/chat/1"))
+    assert caller.status == 502
+
+
+def test_resumed_stream_with_nothing_left_to_send_is_complete():
+    answers = [respond(chunk(FIRST_EVENT), CHUNKED), respond(b"")]
+    caller, sent = send_to(answers, make_request("/resumable/1"))
+    assert sent == 2
+    assert caller.is_complete
+    assert caller.data.count(FIRST_EVENT) == 1
+
+
+def test_whole_stream_delimited_by_close_is_delivered():
+    caller, _ = send_to([respond(FIRST_EVENT * 2)], make_request("/chat/1"))
+    assert caller.is_complete
+    assert caller.data.count(FIRST_EVENT) == 2
+
+
+def test_whole_response_delimited_by_close_is_delivered():
+    caller, _ = send_to([respond(b"fine")], make_request("/book/1"))
+    assert caller.status == 200
+    assert caller.data.endswith(b"\r\n\r\nfine")
