Split event streams at blank lines of any kind

Callers of an engine that ends lines with CR LF or CR got no event before the end of their stream; on the other data path they got an error event in place of its end. The splitter knew only a blank line of two LF. It now follows the standard, reads ids without a space, counts no comments as events, and both data paths use it.

--- a/cranberrysail/front/relay.py
+++ b/cranberrysail/front/relay.py
@@ -5,7 +5,7 @@
 
 from cranberrysail.endpoints.upstream import UpstreamCall
 from cranberrysail.errors import UpstreamError
-from cranberrysail.router.sse import EVENT_END, last_event_id
+from cranberrysail.router.sse import EventSplitter
 
 __all__ = ["DONE_EVENT", "EventRelay", "PlainRelay"]
 
@@ -134,13 +134,13 @@
         super().__init__(call, idle_s, finish)
         self._resume = resume
         self._resumes = 0
-        self._partial_event = b""
+        self._splitter = EventSplitter()
         self._last_events = b""
 
     @property
     def complete(self) -> bool:
         """Return whether the last event relayed is ``DONE_EVENT``."""
-        return self._last_events.endswith(DONE_EVENT)
+        return self._last_events.splitlines()[-2:] == [DONE_EVENT.strip(), b""]
 
     async def __anext__(self) -> bytes:
         if self._exhausted:
@@ -156,35 +156,23 @@
                 if await self._try_resume():
                     continue
                 return self._end_with(False, ERROR_EVENT)
-            events = self._take_complete_events(data)
+            events = self._splitter.feed(data)
+            if len(self._splitter.tail) > MAX_EVENT_BYTES:
+                self._call.close()
             if events:
                 if self.on_first_byte is not None:
                     self._report_first_byte()
                 self._last_events = events
                 return events
 
-    def _take_complete_events(self, data: bytes) -> bytes:
-        if self._partial_event:
-            data = self._partial_event + data
-            self._partial_event = b""
-        if data.endswith(EVENT_END):
-            return data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            end = 0
-        self._partial_event = data[end:]
-        if len(self._partial_event) > MAX_EVENT_BYTES:
-            self._call.close()
-        return data[:end]
-
     def _end_with(self, complete: bool, last: bytes) -> bytes:
         self.finish(complete)
         self._exhausted = True
         return last
 
     async def _try_resume(self) -> bool:
-        event_id = last_event_id(self._last_events)
-        self._partial_event = b""
+        event_id = self._splitter.last_id
+        self._splitter.discard_tail()
         while event_id and self._resumes < MAX_RESUMES and not self._finished:
             self._resumes += 1
             self._call.close()
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -20,7 +20,6 @@
 from cranberrysail.router.model import CallKind
 from cranberrysail.router.outcome import Attempt, AttemptResult, ReceivedResponse
 from cranberrysail.router.selector import Choice, Selector
-from cranberrysail.router.sse import EVENT_END
 
 __all__ = ["AttemptRunner"]
 
@@ -319,7 +318,7 @@
         sent_s: float,
     ) -> Attempt:
         first_data_s = 0.0
-        event_count = 0
+        events_before = call.event_splitter.event_count
         stats = self._selector.loads.stats(endpoint)
         while data := await conn.read():
             if not first_data_s:
@@ -328,8 +327,8 @@
             stats.last_byte_s = now()
             events = call.event_splitter.feed(data)
             if events:
-                event_count += events.count(EVENT_END)
                 await self._forward_events(call, conn, events)
+        event_count = call.event_splitter.event_count - events_before
         self._selector.record_event_interval(
             call.service, stats, event_count, stats.last_byte_s - first_data_s
         )
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -1,26 +1,29 @@
-"""Splitting of a Server-Sent Events stream into complete events."""
+"""Splitting of a Server-Sent Events stream into complete events.
 
-__all__ = ["EVENT_END", "EventSplitter", "last_event_id"]
+Source: HTML Living Standard, section 9.2.6. Lines end with CR LF, LF or CR, and a blank
+line ends an event.
+"""
 
-EVENT_END = b"\n\n"
+import re
 
+__all__ = ["EventSplitter"]
 
-def last_event_id(events: bytes) -> bytes:
-    """Return the id of the last event that has one, or empty bytes."""
-    start = events.rfind(b"\nid: ")
-    if start < 0:
-        return events[4 : events.find(b"\n")] if events.startswith(b"id: ") else b""
-    start += len(b"\nid: ")
-    return events[start : events.find(b"\n", start)]
+# Atomic, so that a CR LF is never taken for two line ends.
+LINE_END = rb"(?>\r\n|\n|\r)"
+BLANK_LINE = re.compile(LINE_END + LINE_END)
+LINE_START = rb"(?:\A|[\r\n])"
+# Lines that begin with a colon are comments.
+FIELD_LINE = re.compile(LINE_START + rb"[^:\r\n]")
+ID_LINE = re.compile(LINE_START + rb"id: ?([^\r\n]*)")
 
 
 class EventSplitter:
     """Buffers the bytes of an event until it is complete.
 
     Attributes:
-      last_id: Id of the last complete event that has one.
-      tail: Bytes of the incomplete event at the end.
-      event_count: Number of complete events.
+      last_id: Id of the last complete event, empty if it has none.
+      tail: Bytes after the last complete event.
+      event_count: Number of complete events; blocks of comments are not counted.
     """
 
     def __init__(self) -> None:
@@ -31,16 +34,19 @@
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the events that it completes."""
         data = self.tail + data
-        end = data.rfind(EVENT_END)
-        if end < 0:
-            self.tail = data
-            return b""
-        end += len(EVENT_END)
+        end = 0
+        for blank_line in BLANK_LINE.finditer(data):
+            self._end_event(data[end : blank_line.end()])
+            end = blank_line.end()
         self.tail = data[end:]
-        events = data[:end]
-        self.event_count += events.count(EVENT_END)
-        self.last_id = last_event_id(events) or self.last_id
-        return events
+        return data[:end]
+
+    def _end_event(self, event: bytes) -> None:
+        if FIELD_LINE.search(event) is None:
+            return
+        self.event_count += 1
+        ids = ID_LINE.findall(event)
+        self.last_id = ids[-1] if ids else b""
 
     def discard_tail(self) -> None:
         """Drop the incomplete event, which a resumed stream sends again."""
--- /dev/null
+++ b/tests/front/test_relay.py
@@ -0,0 +1,66 @@
+"""Relays of endpoints' streams to callers, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from cranberrysail.endpoints.upstream import UpstreamRequest, open_call
+from cranberrysail.errors import UpstreamError
+from cranberrysail.front.relay import DONE_EVENT, ERROR_EVENT, EventRelay, PlainRelay
+from tests.router.virtualloop import run_virtual
+
+IDLE_S = 5.0
+EVENT = b"id: 1\ndata: part 1\n\n"
+
+
+class Endpoint(asyncio.Protocol):
+    """Sends a response to any request and closes the connection."""
+
+    def __init__(self, response):
+        self.response = response
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.transport.write(self.response)
+        self.transport.close()
+
+
+def relay_body(body, make_relay, framing=b""):
+    """Relay one response; return what is relayed, and whether it counts as complete."""
+
+    async def main(loop):
+        response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body
+        loop.servers["10.0.1.1", 80] = lambda: Endpoint(response)
+        call = await open_call("10.0.1.1:80", 1.0)
+        call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
+        await call.wait_for_response()
+        finished = []
+        relay = make_relay(call, IDLE_S, finished.append)
+        return b"".join([part async for part in relay]), finished
+
+    return run_virtual(main)
+
+
+def event_relay(call, idle_s, finish):
+    async def resume(event_id):
+        raise UpstreamError("not resumed", sent=True)
+
+    return EventRelay(call, idle_s, finish, resume)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"], ids=["lf", "crlf"])
+def test_stream_that_ends_with_the_last_event_is_complete(line_end):
+    stream = (EVENT + DONE_EVENT).replace(b"\n", line_end)
+    assert relay_body(stream, event_relay) == (stream, [True])
+
+
+def test_stream_that_ends_before_the_last_event_ends_with_an_error():
+    relayed, finished = relay_body(EVENT + b"data: [DO", event_relay)
+    assert relayed == EVENT + ERROR_EVENT
+    assert finished == [False]
+
+
+def test_plain_response_delimited_by_close_is_complete():
+    assert relay_body(b"fine", PlainRelay) == (b"fine", [True])
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -103,6 +103,24 @@
     assert caller.data.endswith(b"0\r\n\r\n")
 
 
+def test_events_with_crlf_line_ends_are_forwarded_as_they_arrive():
+    async def stream_crlf(conn, received):
+        attempt = received.headers["cranberrysail-attempt-id"]
+        head = f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+        conn.transport.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        conn.transport.write(b"16\r\nid: 1\r\ndata: first\r\n\r\n\r\n")
+        await asyncio.sleep(1.0)
+        conn.transport.write(b"0\r\n\r\n")
+
+    async def main(world):
+        world.workers["e0"].answer = stream_crlf
+        caller = await world.send(make_request("/chat/1"))
+        await asyncio.sleep(0.5)
+        return caller.data
+
+    assert b"data: first" in run_scenario(main, engines=1)
+
+
 def test_worker_receives_customer_and_remaining_time_but_no_credential():
     async def main(world):
         await world.send_and_wait(
