--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -48,6 +48,11 @@
         ids = ID_LINE.findall(event)
         self.last_id = ids[-1] if ids else b""
 
+    @property
+    def in_event(self) -> bool:
+        """Return whether an event has begun and not ended."""
+        return FIELD_LINE.search(self.tail) is not None
+
     def discard_tail(self) -> None:
         """Drop the incomplete event, which a resumed stream sends again."""
         self.tail = b""
--- a/tests/router/test_sse.py
+++ b/tests/router/test_sse.py
@@ -47,3 +47,13 @@
     splitter = EventSplitter()
     assert splitter.feed(b": ping\n\n") == b": ping\n\n"
     assert splitter.event_count == 0
+
+
+@pytest.mark.parametrize(
+    ("tail", "in_event"),
+    [(b"", False), (b"\n", False), (b": ping", False), (b"d", True), (b"id: 2", True)],
+)
+def test_comments_and_line_ends_after_the_last_event_are_no_event(tail, in_event):
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: x\n\n" + tail)
+    assert splitter.in_event is in_event
