Continue a response at another endpoint only where nothing is missing or joined

A lookup whose response was too large to buffer was sent again after its connection broke, and the second response, head and all, went into the body of the first. A resumable stream whose last event had no id was begun anew, so its events came twice. Whether a started response can be continued is now a property of the call: a stream, and its last event has an id. Otherwise the caller's connection is aborted.

Before: test_stream_is_not_resumed_after_an_event_without_an_id and test_large_response_that_is_broken_off_is_not_joined_with_another fail.

--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -5,7 +5,7 @@
 from cranberrysail.router.clock import now
 from cranberrysail.router.headercodec import CallHead, Headers
 from cranberrysail.router.httplistener import HttpRequest, HttpServerConn
-from cranberrysail.router.model import Customer, Route, RouteTables, Service
+from cranberrysail.router.model import CallKind, Customer, Route, RouteTables, Service
 from cranberrysail.router.sse import EventSplitter
 
 __all__ = ["Call"]
@@ -58,6 +58,19 @@
         """Return the seconds left until the deadline."""
         return self.deadline_s - now()
 
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another attempt can continue the response.
+
+        A response that was not started is simply begun. Of the others, only a stream
+        whose last event has an id can be continued without missing or repeating a part.
+        """
+        if not self.response_started:
+            return True
+        events = self.event_splitter
+        is_stream = self.route.kind is CallKind.STREAM
+        return is_stream and bool(events.last_id or not events.event_count)
+
     @property
     def service_config(self) -> Service:
         """Return the configuration of the call's service."""
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 import msgspec
 
@@ -278,8 +279,15 @@
         call.tried.add(endpoint.id)
         if attempt.result in (AttemptResult.NOT_RUN, AttemptResult.DISPLACED):
             call.declined += 1
-        step_args = (call.route, attempt.result, call.executions, call.declined)
-        step = next_step(*step_args, within_budget=True)
+        decide = partial(
+            next_step,
+            call.route,
+            attempt.result,
+            call.executions,
+            call.declined,
+            can_continue=call.can_continue,
+        )
+        step = decide(within_budget=True)
         # Retries are charged to the retry budget once an attempt of the call has been
         # sent to an endpoint; before that, no attempt has caused any load.
         exempt = step is not NextStep.SEND_AGAIN or not call.attempts_sent
@@ -287,7 +295,7 @@
             call.service, self._selector.fleet_size, now()
         )
         if not within_budget:
-            step = next_step(*step_args, within_budget=False)
+            step = decide(within_budget=False)
         self._log.write(
             "attempt_ended",
             id=call.head.request_id,
--- a/cranberrysail/router/outcome.py
+++ b/cranberrysail/router/outcome.py
@@ -101,6 +101,7 @@
     executions: int,
     declined: int,
     within_budget: bool,
+    can_continue: bool = True,
 ) -> NextStep:
     """Return what to do after an attempt that did not deliver a response.
 
@@ -111,7 +112,11 @@
       declined: Attempts so far whose endpoint responded that it did not execute the
         call.
       within_budget: Whether the retry budget allows another attempt.
+      can_continue: Whether another attempt can continue the response as far as it was
+        sent to the caller.
     """
+    if not can_continue:
+        return NextStep.BREAK_OFF
     if result in NOT_EXECUTED:
         may_send = executions == 0 or (
             route.retryable and executions < route.max_attempts
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -14,6 +14,8 @@
 from tests.router.virtualloop import run_virtual
 
 CHUNKED = "Transfer-Encoding: chunked\r\n"
+# Bodies are sent in pieces of this size, as they arrive over a network.
+PIECE_BYTES = 64 * 1024
 FIRST_EVENT = b"id: 1\ndata: part 1\n\n"
 PART_OF_AN_EVENT = b"id: 2\ndata: pa"
 
@@ -30,7 +32,10 @@
     async def answer(conn, received):
         attempt = received.headers["cranberrysail-attempt-id"]
         head = f"HTTP/1.1 {status} X\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
-        conn.transport.write(f"{head}{framing}\r\n".encode() + body)
+        data = f"{head}{framing}\r\n".encode() + body
+        for start in range(0, len(data), PIECE_BYTES):
+            conn.transport.write(data[start : start + PIECE_BYTES])
+            await asyncio.sleep(0.005)
         await asyncio.sleep(0.1)
         conn.transport.close()
 
@@ -114,3 +119,22 @@
     caller, _ = send_to([respond(b"fine")], make_request("/book/1"))
     assert caller.status == 200
     assert caller.data.endswith(b"\r\n\r\nfine")
+
+
+def test_stream_is_not_resumed_after_an_event_without_an_id():
+    events = FIRST_EVENT + b"data: no id\n\n"
+    cut = respond(chunk(events), CHUNKED)
+    caller, sent = send_to([cut, stream_answer], make_request("/resumable/1"))
+    assert sent == 1
+    assert events in caller.data
+    assert not caller.is_complete
+
+
+def test_large_response_that_is_broken_off_is_not_joined_with_another():
+    size = 600_000
+    cut = respond(b"x" * (size // 2), f"Content-Length: {size}\r\n")
+    whole = respond(b"y" * size, f"Content-Length: {size}\r\n")
+    caller, sent = send_to([cut, whole], make_request("/look/1"))
+    assert sent == 1
+    assert b"y" not in caller.data.partition(b"\r\n\r\n")[2]
+    assert not caller.is_complete
--- a/tests/router/test_outcome.py
+++ b/tests/router/test_outcome.py
@@ -66,3 +66,9 @@
     assert next_step(SAFE, AttemptResult.FAILED, 1, 0, True) is NextStep.SEND_AGAIN
     assert next_step(SAFE, AttemptResult.FAILED, 2, 0, True) is NextStep.GIVE_FAILURE
     assert next_step(ONCE, AttemptResult.FAILED, 1, 0, True) is NextStep.GIVE_FAILURE
+
+
+def test_response_that_cannot_be_continued_is_broken_off():
+    for kind, result, ran, budget in CASES:
+        step = next_step(kind, result, ran, 0, budget, can_continue=False)
+        assert step is NextStep.BREAK_OFF
