Do not write another endpoint's error response into a resumed stream

A stream was interrupted and resumed at an endpoint that answered with a status below 500 other than success. Its response, head and all, was written into the caller's stream, and the call counted as delivered. Such a response is no continuation now: the attempt is broken off.

Before: test_stream_is_not_joined_with_an_error_response_of_another_endpoint fails (two heads on the caller's connection).

--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -254,6 +254,11 @@
         body = await conn.read_up_to(MAX_BUFFERED_BYTES)
         status, headers = conn.status, _without_hop_by_hop(conn.headers)
         self._record_response(call, endpoint, pending_id, sent_s, status)
+        if call.response_started:
+            return Attempt(
+                AttemptResult.BROKEN_OFF,
+                f"status {status} in place of the rest of the stream",
+            )
         if status >= 500:
             call.endpoint_error = (status, headers, body)
             return Attempt(AttemptResult.FAILED, f"status {status}")
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -138,3 +138,11 @@
     assert sent == 1
     assert b"y" not in caller.data.partition(b"\r\n\r\n")[2]
     assert not caller.is_complete
+
+
+def test_stream_is_not_joined_with_an_error_response_of_another_endpoint():
+    cut = respond(chunk(FIRST_EVENT), CHUNKED)
+    error = respond(b"{}", "Content-Length: 2\r\n", status=404)
+    caller, _ = send_to([cut, error], make_request("/resumable/1"))
+    assert caller.data.count(b"HTTP/1.1") == 1
+    assert not caller.is_complete
