Forward a large error response as it arrives

A 5xx of more than 256 KiB was cut there and sent to its caller with a Content-Length that fitted the part: an answer that was not whole and looked so. It now goes to the caller as it arrives, like any other large response, and is not sent again at another endpoint; if its connection breaks, the caller's is aborted.

--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -25,10 +25,9 @@
 __all__ = ["AttemptRunner"]
 
 # Responses up to about this size are buffered whole, so that a retry can replace one
-# whose connection is lost; larger ones are forwarded as they arrive. Streams are never
-# buffered. An error response (5xx) is not read beyond this size. What is left of a
-# response that nobody needs is read up to this size, so that its connection can be
-# reused.
+# whose connection is lost; larger ones are forwarded as they arrive, error responses
+# (5xx) too. Streams are never buffered. What is left of a response that nobody needs is
+# read up to this size, so that its connection can be reused.
 MAX_BUFFERED_BYTES = 256 * 1024
 # Subtracted from the deadline that an endpoint is given: a response must arrive this
 # long before the call's deadline to be of use.
@@ -259,7 +258,7 @@
                 AttemptResult.BROKEN_OFF,
                 f"status {status} in place of the rest of the stream",
             )
-        if status >= 500:
+        if status >= 500 and conn.complete:
             call.endpoint_error = (status, headers, body)
             return Attempt(AttemptResult.FAILED, f"status {status}")
         if conn.complete:
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -146,3 +146,19 @@
     caller, _ = send_to([cut, error], make_request("/resumable/1"))
     assert caller.data.count(b"HTTP/1.1") == 1
     assert not caller.is_complete
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+def test_large_error_response_is_delivered_whole(path):
+    size = 600_000
+    error = respond(b"x" * size, f"Content-Length: {size}\r\n", status=500)
+    caller, _ = send_to([error, error], make_request(path))
+    assert caller.status == 500
+    assert caller.is_complete
+    assert caller.data.count(b"x") >= size
+
+
+def test_large_error_response_that_is_broken_off_never_looks_complete():
+    cut = respond(b"x" * 300_000, "Content-Length: 600000\r\n", status=500)
+    caller, _ = send_to([cut], make_request("/book/1"))
+    assert not caller.is_complete
