Find the end of a response body whatever the number of its headers

Response headers beyond 128 were ignored, Content-Length and Transfer-Encoding with them. Such a response counted as delimited by the end of the connection, so one that was cut reached its caller as a whole 200. The headers that delimit the body are kept whatever their place.

Before: test_response_with_more_headers_than_are_kept_is_not_cut_at_its_end fails.

--- a/cranberrysail/router/bodyframing.py
+++ b/cranberrysail/router/bodyframing.py
@@ -2,7 +2,9 @@
 
 from enum import StrEnum
 
-__all__ = ["BodyFraming", "response_framing"]
+__all__ = ["FRAMING_HEADERS", "BodyFraming", "response_framing"]
+
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 BODILESS_STATUSES = frozenset((204, 304))
 
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -9,14 +9,18 @@
 import httptools
 
 from cranberrysail.errors import UpstreamError
-from cranberrysail.router.bodyframing import BodyFraming, response_framing
+from cranberrysail.router.bodyframing import (
+    FRAMING_HEADERS,
+    BodyFraming,
+    response_framing,
+)
 from cranberrysail.router.clock import now
 
 __all__ = ["HttpClientConn", "connect"]
 
 # Unread response bytes above which reading from the socket pauses.
 HIGH_WATER_BYTES = 64 * 1024
-# Response headers beyond this number are ignored.
+# Response headers beyond this number are ignored, but those that delimit the body.
 MAX_HEADERS = 128
 # A connection whose data stays unacknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 1000
@@ -119,8 +123,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header, or a trailer field of a chunked response."""
-        if len(self._parsed_headers) < MAX_HEADERS:
-            self._parsed_headers.append((name.lower(), value))
+        name = name.lower()
+        if len(self._parsed_headers) < MAX_HEADERS or name in FRAMING_HEADERS:
+            self._parsed_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Store the response head; ignore interim (1xx) responses.
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -162,3 +162,11 @@
     cut = respond(b"x" * 300_000, "Content-Length: 600000\r\n", status=500)
     caller, _ = send_to([cut], make_request("/book/1"))
     assert not caller.is_complete
+
+
+def test_response_with_more_headers_than_are_kept_is_not_cut_at_its_end():
+    headers = "".join(f"X-{n}: 1\r\n" for n in range(200))
+    cut = respond(b"half", headers + "Content-Length: 9\r\n")
+    caller, _ = send_to([cut], make_request("/book/1"))
+    assert caller.status == 502
+    assert b"half" not in caller.data
