Reject a response with a transfer coding that the router does not decode

A response with another transfer coding than chunked (gzip, chunked) was forwarded without the header that names it, so its caller got bytes that are not the body, framed as whole. The router asks for no coding (RFC 9112, section 7.4); the attempt now ends as one with an invalid response.

Before: test_response_with_an_unknown_transfer_coding_is_not_forwarded fails.

--- a/cranberrysail/router/bodyframing.py
+++ b/cranberrysail/router/bodyframing.py
@@ -2,10 +2,16 @@
 
 from enum import StrEnum
 
-__all__ = ["FRAMING_HEADERS", "BodyFraming", "response_framing"]
-
-FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
-
+__all__ = [
+    "FRAMING_HEADERS",
+    "BodyFraming",
+    "UnsupportedCodingError",
+    "response_framing",
+]
+
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+FRAMING_HEADERS = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
 BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -25,20 +31,33 @@
     CLOSE = "close"
 
 
+class UnsupportedCodingError(ValueError):
+    """A response has a transfer coding besides chunked, which was not asked for."""
+
+    def __init__(self, coding: bytes) -> None:
+        super().__init__(f"unsupported transfer coding {coding.decode('latin-1')!r}")
+
+
 def response_framing(
-    status: int, header_names: frozenset[bytes], bodiless: bool
+    status: int, headers: list[tuple[bytes, bytes]], bodiless: bool
 ) -> BodyFraming:
     """Return what delimits the body of a response.
 
     Args:
       status: Status of the response.
-      header_names: Names of its headers, in lower case.
+      headers: Its headers, names in lower case.
       bodiless: True if the request was one whose response has no body, as HEAD.
+
+    Raises:
+      UnsupportedCodingError: If its transfer coding is not chunked alone.
     """
     if bodiless or status in BODILESS_STATUSES:
         return BodyFraming.NONE
-    if b"transfer-encoding" in header_names:
+    coding = b", ".join(v for name, v in headers if name == TRANSFER_ENCODING)
+    if coding and coding.strip().lower() != b"chunked":
+        raise UnsupportedCodingError(coding)
+    if coding:
         return BodyFraming.CHUNKED
-    if b"content-length" in header_names:
+    if any(name == CONTENT_LENGTH for name, _ in headers):
         return BodyFraming.LENGTH
     return BodyFraming.CLOSE
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -12,6 +12,7 @@
 from cranberrysail.router.bodyframing import (
     FRAMING_HEADERS,
     BodyFraming,
+    UnsupportedCodingError,
     response_framing,
 )
 from cranberrysail.router.clock import now
@@ -140,9 +141,13 @@
             self._skipping = True
             self.reusable = False
             return
+        try:
+            self.framing = response_framing(status, headers, self._bodiless)
+        except UnsupportedCodingError as exc:
+            self._fail(str(exc))
+            self.close()
+            return
         self.status, self.headers = status, headers
-        names = frozenset(name for name, _ in headers)
-        self.framing = response_framing(status, names, self._bodiless)
         if self._bodiless:
             self._finish()
         self._wake()
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -170,3 +170,11 @@
     caller, _ = send_to([cut], make_request("/book/1"))
     assert caller.status == 502
     assert b"half" not in caller.data
+
+
+def test_response_with_an_unknown_transfer_coding_is_not_forwarded():
+    body = chunk(b"coded")
+    cut = respond(body + b"0\r\n\r\n", "Transfer-Encoding: gzip, chunked\r\n")
+    caller, _ = send_to([cut], make_request("/book/1"))
+    assert caller.status == 502
+    assert b"coded" not in caller.data
