Do not take trailers of a response for headers of the next

Trailer fields of a chunked response stayed in the list of parsed headers and came first in the next response of the connection, which then bore, for example, the seal of another. The list is cleared with each request. A property test plays responses of all framings, split and cut anywhere: each is received whole or fails (passes before, too).

Before: test_trailers_are_no_headers_of_the_next_response fails.

--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -56,8 +56,7 @@
 
     Attributes:
       status: Status of the response, 0 before its head was received.
-      headers: Headers of the response, names in lower case, after any trailers of the
-        previous one.
+      headers: Headers of the response, names in lower case.
       framing: What delimits the body of the response.
       body_bytes: Bytes of the body received so far.
       complete: True once the whole response was received.
@@ -242,6 +241,8 @@
                 "connection closed before the request was sent", sent=False
             )
         self._parser = httptools.HttpResponseParser(self)
+        # The trailers of the last response are still there.
+        self._parsed_headers = []
         self._match = match
         self._bodiless = bodiless
         self._busy = True
--- /dev/null
+++ b/tests/router/test_httpclient.py
@@ -0,0 +1,142 @@
+"""Responses on client connections: where they end, and whether they are whole."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranberrysail.errors import UpstreamError
+from cranberrysail.router.bodyframing import BodyFraming
+from cranberrysail.router.httpclient import connect
+from tests.router.virtualloop import run_virtual
+
+ADDRESS = "10.0.1.1:80"
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+PIECE_DELAY_S = 0.01
+
+
+@dataclass
+class Script:
+    """What a server sends in response to one request.
+
+    Attributes:
+      pieces: Data, sent one piece at a time.
+      end: ``close`` or ``reset`` for the end of the connection, empty to keep it.
+    """
+
+    pieces: list[bytes]
+    end: str = ""
+
+
+class ScriptedServer(asyncio.Protocol):
+    """Answers the requests of a connection as scripted."""
+
+    def __init__(self, scripts):
+        self.scripts = list(scripts)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.task = asyncio.ensure_future(self.send(self.scripts.pop(0)))
+
+    async def send(self, script):
+        for piece in script.pieces:
+            self.transport.write(piece)
+            await asyncio.sleep(PIECE_DELAY_S)
+        if script.end == "close":
+            self.transport.close()
+        elif script.end == "reset":
+            self.transport.abort()
+
+
+def run_requests(scripts, scenario):
+    """Run a scenario with a connection to a server that answers as scripted."""
+
+    async def main(loop):
+        loop.servers["10.0.1.1", 80] = lambda: ScriptedServer(scripts)
+        return await scenario(await connect(ADDRESS, 1.0))
+
+    return run_virtual(main)
+
+
+async def fetch(conn):
+    """Send a request and return the whole body."""
+    conn.send(REQUEST)
+    await conn.wait_for_head()
+    body = b""
+    while data := await conn.read():
+        body += data
+    return body
+
+
+def response(body, framing):
+    """Return an encoded response."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    if framing is BodyFraming.LENGTH:
+        return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    if framing is BodyFraming.CLOSE:
+        return head + b"\r\n" + body
+    half = len(body) // 2
+    chunks = b"".join(
+        b"%x\r\n%b\r\n" % (len(p), p) for p in (body[:half], body[half:]) if p
+    )
+    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+def split(data, cuts):
+    """Split data at positions, which are taken modulo its length."""
+    bounds = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    return [data[a:b] for a, b in itertools.pairwise(bounds)]
+
+
+FRAMINGS = st.sampled_from([BodyFraming.LENGTH, BodyFraming.CHUNKED, BodyFraming.CLOSE])
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(
+    framing=FRAMINGS,
+    body=st.binary(max_size=40),
+    cuts=st.lists(st.integers(0, 200), max_size=6),
+    missing=st.integers(0, 60),
+    end=st.sampled_from(["close", "reset"]),
+)
+def test_response_is_whole_or_fails_wherever_it_is_split_or_cut(
+    framing, body, cuts, missing, end
+):
+    whole = response(body, framing)
+    sent = whole[: max(0, len(whole) - missing)]
+
+    async def scenario(conn):
+        try:
+            return await fetch(conn)
+        except UpstreamError:
+            return None
+
+    received = run_requests([Script(split(sent, cuts), end)], scenario)
+    if framing is BodyFraming.CLOSE and end == "reset":
+        assert received is None
+    elif framing is BodyFraming.CLOSE and missing <= len(body):
+        assert received == body[: len(body) - missing]
+    elif missing:
+        assert received is None
+    else:
+        assert received == body
+
+
+def test_trailers_are_no_headers_of_the_next_response():
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+    trailers = b"X-Seal: s\r\n\r\n"
+    scripts = [
+        Script([chunked + trailers]),
+        Script([b"HTTP/1.1 200 OK\r\n\r\ncd"], "close"),
+    ]
+
+    async def scenario(conn):
+        await fetch(conn)
+        conn.mark_idle()
+        return await fetch(conn), conn.headers, conn.framing
+
+    assert run_requests(scripts, scenario) == (b"cd", [], BodyFraming.CLOSE)
