Do not reuse a connection on which part of a second response has arrived

If the first bytes of an unsolicited response arrived together with the end of the one before it, the connection was used again, and their rest was read where the next response was due. The start of any message after a whole response now ends the use of the connection.

Before: test_connection_with_bytes_after_a_response_is_not_reused[HTTP/1.1 200 OK...] fails.

--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -121,6 +121,11 @@
         self.reusable = False
         self._fail(f"connection lost ({exc})" if exc else "connection closed")
 
+    def on_message_begin(self) -> None:
+        """Note that bytes follow the response, which belong to no request."""
+        if self.complete:
+            self.reusable = False
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header, or a trailer field of a chunked response."""
         name = name.lower()
--- a/tests/router/test_httpclient.py
+++ b/tests/router/test_httpclient.py
@@ -4,6 +4,7 @@
 import itertools
 from dataclasses import dataclass
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -140,3 +141,13 @@
         return await fetch(conn), conn.headers, conn.framing
 
     assert run_requests(scripts, scenario) == (b"cd", [], BodyFraming.CLOSE)
+
+
+@pytest.mark.parametrize("extra", [b"HTTP/1.1 200 OK\r\nContent-", b"\r\nx", b"0\r\n"])
+def test_connection_with_bytes_after_a_response_is_not_reused(extra):
+    script = Script([response(b"ab", BodyFraming.LENGTH) + extra])
+
+    async def scenario(conn):
+        return await fetch(conn), conn.can_send
+
+    assert run_requests([script], scenario) == (b"ab", False)
