Reset the connection of an HTTP/1.0 caller whose response is interrupted

To a caller without chunks a response of unknown length ends with its connection. When such a response was interrupted the connection was aborted, which asyncio does by closing the socket: the caller saw an ordinary end, so a broken answer looked whole. The socket is now set to reset when it is closed, from the head of such a response to its end, so that it also holds if the process is killed.

Why tests missed it: an aborted connection in memory was seen as reset by the other end. It is now seen as closed, as a real one is, and simulated endpoints that mean a reset say so.

Before: test_interrupted_response_never_looks_complete_to_an_http_1_0_caller (3, over real connections) and test_interrupted_stream_never_looks_complete_to_an_http_1_0_caller (both paths) fail.

--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 server connections, with one request handled at a time on each."""
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -415,10 +417,15 @@
         self._transport.write(bytes(head) + b"\r\n" + body)
 
     def start_response(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head of a response of unknown length."""
+        """Send the head of a response of unknown length.
+
+        If the caller does not support chunks, the body is delimited by the end of the
+        connection, which is reset if it ends before ``end_response``.
+        """
         self._bodiless = self._bodiless or status in BODILESS_STATUSES
         if not self._supports_chunked and not self._bodiless:
             self.close_after_response = True
+            self._reset_on_close(True)
         head = self._response_head(status, headers)
         if self._supports_chunked and not self._bodiless:
             head += b"transfer-encoding: chunked\r\n"
@@ -441,13 +448,23 @@
             await self._writable.wait()
 
     def end_response(self) -> None:
-        """Send the last chunk of a chunked body."""
-        ended = self._bodiless or self._transport.is_closing()
-        if self._supports_chunked and not ended:
+        """Send the last chunk, or let the connection end the body."""
+        if self._bodiless or self._transport.is_closing():
+            return
+        if self._supports_chunked:
             self._transport.write(b"0\r\n\r\n")
+        else:
+            self._reset_on_close(False)
+
+    def _reset_on_close(self, enabled: bool) -> None:
+        """Set whether the end of the connection is a reset, whoever closes it."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            linger = struct.pack("ii", enabled, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def abort(self) -> None:
-        """Reset the connection, so that a truncated response cannot look complete."""
+        """Drop the connection, so that a truncated response cannot look complete."""
         self._closing = True
         self._transport.abort()
 
--- a/tests/front/test_callerapi.py
+++ b/tests/front/test_callerapi.py
@@ -169,6 +169,18 @@
     assert not caller.data.endswith(b"0\r\n\r\n")
 
 
+def test_interrupted_stream_never_looks_complete_to_an_http_1_0_caller():
+    data = get("/look/1").replace(b"HTTP/1.1", b"HTTP/1.0")
+    whole = SimulatedRelay([b"a"])
+    caller, _ = send(lambda r: Response(200, relay=whole), data, 1.0)
+    assert caller.data.endswith(b"\r\n\r\na")
+    assert caller.is_complete
+    cut = SimulatedRelay([b"a"], fails=True)
+    caller, _ = send(lambda r: Response(200, relay=cut), data, 1.0)
+    assert caller.data.endswith(b"\r\n\r\na")
+    assert not caller.is_complete
+
+
 @pytest.mark.parametrize("after_s", [0.05, 0.25])
 def test_call_is_cancelled_when_the_caller_disconnects(after_s):
     async def scenario(loop, gateway):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -41,7 +41,7 @@
         parsed_url = httptools.parse_url(self.url)
         status, body = self.respond(parsed_url.path.decode(), parsed_url.query.decode())
         if status == 0:
-            self.transport.abort()
+            self.transport.reset()
             return
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
         self.transport.write(head.encode() + body)
--- a/tests/router/randomscenario.py
+++ b/tests/router/randomscenario.py
@@ -100,7 +100,7 @@
         )
         await asyncio.sleep(self.rng.choice((0.02, 0.05, 0.1)))
         if draw < 0.05:
-            conn.transport.abort()
+            conn.transport.reset()
         elif draw < 0.06:
             await asyncio.sleep(60)
         elif draw < 0.08:
@@ -125,7 +125,7 @@
             conn.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
             await asyncio.sleep(0.02)
             if draw < 0.17 and number == 3:
-                conn.transport.abort()
+                conn.transport.reset()
                 return
         conn.transport.write(b"0\r\n\r\n")
 
@@ -151,7 +151,7 @@
         host, _, port = worker.address.partition(":")
         self.loop.servers.pop((host, int(port)), None)
         for conn in worker.conns:
-            conn.transport.abort()
+            conn.transport.reset()
         worker.conns.clear()
 
     # Callers
--- a/tests/router/simulatedfleet.py
+++ b/tests/router/simulatedfleet.py
@@ -215,6 +215,7 @@
     def __init__(self) -> None:
         self.data = b""
         self.closed = False
+        self.was_reset = False
         self._changed = asyncio.Event()
 
     def connection_made(self, transport) -> None:
@@ -226,6 +227,7 @@
 
     def connection_lost(self, exc) -> None:
         self.closed = True
+        self.was_reset = exc is not None
         self._changed.set()
 
     @property
@@ -237,6 +239,8 @@
         if b"transfer-encoding: chunked" in head:
             return body.endswith(b"0\r\n\r\n")
         length = head.partition(b"content-length: ")[2].split(b"\r\n")[0]
+        if not length and b"connection: close" in head:
+            return self.closed and not self.was_reset
         return len(body) >= int(length or 0)
 
     async def answer(self, within_s: float = 20.0) -> bytes:
--- a/tests/router/test_httpclient.py
+++ b/tests/router/test_httpclient.py
@@ -50,7 +50,7 @@
         if script.end == "close":
             self.transport.close()
         elif script.end == "reset":
-            self.transport.abort()
+            self.transport.reset()
 
 
 def run_requests(scripts, scenario):
--- /dev/null
+++ b/tests/router/test_httplistener.py
@@ -0,0 +1,84 @@
+"""Responses to callers end as whole or visibly broken off, also over HTTP/1.0."""
+
+import asyncio
+
+import pytest
+
+from cranberrysail.router.httplistener import HttpListener
+
+HTTP_1_0 = b"GET / HTTP/1.0\r\nhost: h\r\n\r\n"
+HTTP_1_1 = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def exchange(handler, request):
+    """Send a request over a real connection; read until its end.
+
+    Returns what was received, whether the connection ended with a reset, and the
+    errors of handlers.
+    """
+
+    async def main():
+        errors = []
+        listener = HttpListener(handler, lambda s, c: ([], c.encode()), errors.append)
+        port = await listener.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request)
+        received, reset = bytearray(), False
+        try:
+            async with asyncio.timeout(5):
+                while data := await reader.read(4096):
+                    received += data
+        except ConnectionResetError:
+            reset = True
+        writer.close()
+        listener.stop_listening()
+        return bytes(received), reset, errors
+
+    return asyncio.run(main())
+
+
+async def send_whole(request, conn):
+    conn.start_response(200, [])
+    await conn.write(b"half")
+    await asyncio.sleep(0.05)
+    await conn.write(b"half")
+    conn.end_response()
+
+
+async def abort_midway(request, conn):
+    conn.start_response(200, [])
+    await conn.write(b"half")
+    await asyncio.sleep(0.05)
+    conn.abort()
+
+
+async def fail_midway(request, conn):
+    conn.start_response(200, [])
+    await conn.write(b"half")
+    await asyncio.sleep(0.05)
+    raise RuntimeError("a fault of the handler")
+
+
+async def return_midway(request, conn):
+    conn.start_response(200, [])
+    await conn.write(b"half")
+    await asyncio.sleep(0.05)
+
+
+INTERRUPTED = pytest.mark.parametrize(
+    "handler", [abort_midway, fail_midway, return_midway]
+)
+
+
+@INTERRUPTED
+def test_interrupted_response_never_looks_complete_to_an_http_1_0_caller(handler):
+    received, reset, _ = exchange(handler, HTTP_1_0)
+    assert b"content-length" not in received
+    assert reset
+
+
+def test_whole_response_to_an_http_1_0_caller_ends_without_a_reset():
+    received, reset, errors = exchange(send_whole, HTTP_1_0)
+    assert received.endswith(b"\r\n\r\nhalfhalf")
+    assert (reset, errors) == (False, [])
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -178,3 +178,11 @@
     caller, _ = send_to([cut], make_request("/book/1"))
     assert caller.status == 502
     assert b"coded" not in caller.data
+
+
+def test_interrupted_stream_never_looks_complete_to_an_http_1_0_caller():
+    cut = respond(chunk(FIRST_EVENT + PART_OF_AN_EVENT), CHUNKED)
+    data = make_request("/chat/1").replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+    caller, _ = send_to([cut], data)
+    assert FIRST_EVENT in caller.data
+    assert caller.was_reset
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -204,7 +204,7 @@
 def test_booking_is_not_retried_after_a_lost_response():
     async def drop_connection(conn, received):
         await asyncio.sleep(0.05)
-        conn.transport.abort()
+        conn.transport.reset()
 
     async def main(world):
         for worker in world.workers.values():
@@ -219,7 +219,7 @@
 def test_lookup_is_retried_after_a_lost_response():
     async def drop_connection(conn, received):
         await asyncio.sleep(0.05)
-        conn.transport.abort()
+        conn.transport.reset()
 
     async def main(world):
         world.workers["p0"].answer = drop_connection
@@ -324,7 +324,7 @@
             "17\r\nid: 1\ndata: part 1\n\nid: \r\n".encode()
         )
         await asyncio.sleep(0.1)
-        conn.transport.abort()
+        conn.transport.reset()
 
     async def main(world):
         for worker in world.workers.values():
@@ -342,7 +342,7 @@
         task = asyncio.ensure_future(stream_answer(conn, received))
         await asyncio.sleep(0.15)
         task.cancel()
-        conn.transport.abort()
+        conn.transport.reset()
 
     async def main(world):
         for worker in world.workers.values():
--- a/tests/router/virtualloop.py
+++ b/tests/router/virtualloop.py
@@ -1,6 +1,8 @@
 """An event loop with virtual time and in-memory connections."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -12,8 +14,24 @@
 DELIVERY_SPACING_S = 1e-6
 
 
+class MemorySocket:
+    """The options of an in-memory connection."""
+
+    def __init__(self) -> None:
+        self.resets_on_close = False
+
+    def setsockopt(self, level: int, option: int, value: int | bytes) -> None:
+        if option == socket.SO_LINGER:
+            enabled, seconds = struct.unpack("ii", value)
+            self.resets_on_close = bool(enabled and not seconds)
+
+
 class MemoryTransport(asyncio.Transport):
-    """One end of an in-memory connection; data arrives after a delay, in order."""
+    """One end of an in-memory connection; data arrives after a delay, in order.
+
+    As with a socket, the other end sees the same if a connection is closed or aborted,
+    unless the socket option is set by which that resets it.
+    """
 
     def __init__(self, loop: "VirtualLoop", protocol: asyncio.Protocol) -> None:
         super().__init__()
@@ -21,6 +39,7 @@
         self.protocol = protocol
         self.peer: MemoryTransport | None = None
         self.drops_writes = False
+        self.socket = MemorySocket()
         self.host = ""
         self.written = bytearray()
         self._closing = False
@@ -80,15 +99,24 @@
         if self._closing:
             return
         self._closing = True
-        if not self.drops_writes:
-            self._schedule_delivery(self.peer._receive_eof)
-        self._finish(None)
+        self._end()
 
     def abort(self) -> None:
         if self._finished:
             return
+        self._end()
+
+    def reset(self) -> None:
+        """Abort the connection, which the other end sees as a reset."""
+        self.socket.resets_on_close = True
+        self.abort()
+
+    def _end(self) -> None:
+        resets = self.socket.resets_on_close
         if not self.drops_writes:
-            self._schedule_delivery(self.peer._receive_reset)
+            self._schedule_delivery(
+                self.peer._receive_reset if resets else self.peer._receive_eof
+            )
         self._finish(None)
 
     def is_closing(self) -> bool:
@@ -110,7 +138,7 @@
         pass
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return default
+        return self.socket if name == "socket" else default
 
 
 class MemoryServer:
