--- a/tests/router/test_httplistener.py
+++ b/tests/router/test_httplistener.py
@@ -1,6 +1,9 @@
 """Responses to callers end as whole or visibly broken off, also over HTTP/1.0."""
 
 import asyncio
+import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -82,3 +85,38 @@
     received, reset, errors = exchange(send_whole, HTTP_1_0)
     assert received.endswith(b"\r\n\r\nhalfhalf")
     assert (reset, errors) == (False, [])
+
+
+LISTENER_SCRIPT = """
+import asyncio
+import socket
+import subprocess
+import sys
+from cranberrysail.router.httplistener import HttpListener
+
+async def serve(request, conn):
+    conn.start_response(200, [])
+    await conn.write(b"half")
+    await asyncio.sleep(60)
+
+async def main():
+    listener = HttpListener(serve, lambda status, code: ([], b""), print)
+    print(await listener.start("127.0.0.1", 0), flush=True)
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+def test_response_of_a_killed_router_never_looks_complete_to_an_http_1_0_caller():
+    command = [sys.executable, "-c", LISTENER_SCRIPT]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        port = int(process.stdout.readline())
+        with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
+            caller.sendall(HTTP_1_0)
+            received = b""
+            while not received.endswith(b"half"):
+                received += caller.recv(4096)
+            process.kill()
+            with pytest.raises(ConnectionResetError):
+                caller.recv(4096)
