Abort a connection whose response was not ended, and allow one response a request

A handler that returned or failed in the middle of a chunked response left the connection open: the response to the next request on it went into the body of the first. And a whole response could be written into one that had begun. Each response of a connection now has a state: the connection is aborted when its handler ends before the response does, and a second response to a request raises ResponseStartedError.

Before: test_interrupted_chunked_response_is_followed_by_nothing[return_midway] and test_response_inside_a_response_is_an_error_and_not_sent fail.

--- a/cranberrysail/router/bodyframing.py
+++ b/cranberrysail/router/bodyframing.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "BODILESS_STATUSES",
     "FRAMING_HEADERS",
     "BodyFraming",
     "UnsupportedCodingError",
@@ -12,6 +13,7 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 FRAMING_HEADERS = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
+# Responses with these statuses have no body (RFC 9110, section 6.4.1).
 BODILESS_STATUSES = frozenset((204, 304))
 
 
--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -6,13 +6,21 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 import httptools
 
+from cranberrysail.router.bodyframing import BODILESS_STATUSES
 from cranberrysail.router.clock import now
 from cranberrysail.router.model import CallerLimits
 
-__all__ = ["CallerDisconnectedError", "HttpListener", "HttpRequest", "HttpServerConn"]
+__all__ = [
+    "CallerDisconnectedError",
+    "HttpListener",
+    "HttpRequest",
+    "HttpServerConn",
+    "ResponseStartedError",
+]
 
 REASON_PHRASES = {
     200: b"OK",
@@ -39,14 +47,30 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 # Interval of the check for open connections during shutdown.
 SHUTDOWN_POLL_INTERVAL_S = 0.05
-# Responses with these statuses have no body (RFC 9110, section 6.4.1).
-BODILESS_STATUSES = frozenset((204, 304))
 
 
 class CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
 
+class ResponseStartedError(Exception):
+    """A response was to be sent to a request that already has one."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(
+            f"a response with status {status} was to follow the start of another; "
+            "abort the connection instead"
+        )
+
+
+class _ResponseState(Enum):
+    """How much of the response to the current request has been sent."""
+
+    NONE = auto()
+    STARTED = auto()
+    ENDED = auto()
+
+
 @dataclass(slots=True)
 class HttpRequest:
     """A request; handlers receive it with its whole body.
@@ -190,7 +214,7 @@
         self._writable: asyncio.Event = asyncio.Event()
         self._writable.set()
         self._closing = False
-        self._head_sent = False
+        self._response = _ResponseState.NONE
         self._timeout_start_s = now()
         self._supports_chunked = True
         self._bodiless = False
@@ -309,7 +333,7 @@
             return
         request = self._queue.popleft()
         self._transport.resume_reading()
-        self._head_sent = False
+        self._response = _ResponseState.NONE
         self.close_after_response = request.wants_close
         self._bodiless = request.method == "HEAD"
         self._handler_task = asyncio.ensure_future(
@@ -323,12 +347,15 @@
         failed = not task.cancelled() and task.exception() is not None
         if failed:
             self._listener.on_error(task.exception())
+        if self._response is _ResponseState.STARTED:
+            self.abort()
         if self._closing:
             return
-        if failed and not self._head_sent:
+        no_response = self._response is _ResponseState.NONE
+        if failed and no_response:
             headers, body = self._listener.error_response(502, "internal_error")
             self.send_response(502, headers, body)
-        if failed or not self._head_sent or self.close_after_response:
+        if failed or no_response or self.close_after_response:
             self.close()
             return
         self._start_next()
@@ -344,6 +371,7 @@
         if self._handler_task is None and not self._queue:
             headers, body = self._listener.error_response(status, error_code)
             self._bodiless = False
+            self._response = _ResponseState.NONE
             self.close_after_response = True
             self.send_response(status, headers, body)
             self._close_after_linger()
@@ -385,6 +413,8 @@
     def _response_head(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> bytearray:
+        if self._response is not _ResponseState.NONE:
+            raise ResponseStartedError(status)
         if self._listener.draining:
             self.close_after_response = True
         head = bytearray(
@@ -394,7 +424,6 @@
             head += name + b": " + value + b"\r\n"
         if self.close_after_response:
             head += b"connection: close\r\n"
-        self._head_sent = True
         return head
 
     def send_response(
@@ -406,10 +435,14 @@
           status: HTTP status.
           headers: Headers without Content-Length, Transfer-Encoding or Connection.
           body: Whole body.
+
+        Raises:
+          ResponseStartedError: If the request already has a response.
         """
         if self._transport.is_closing():
             return
         head = self._response_head(status, headers)
+        self._response = _ResponseState.ENDED
         if status not in BODILESS_STATUSES and (body or not self._bodiless):
             head += b"content-length: %d\r\n" % len(body)
         if self._bodiless or status in BODILESS_STATUSES:
@@ -421,12 +454,16 @@
 
         If the caller does not support chunks, the body is delimited by the end of the
         connection, which is reset if it ends before ``end_response``.
+
+        Raises:
+          ResponseStartedError: If the request already has a response.
         """
         self._bodiless = self._bodiless or status in BODILESS_STATUSES
         if not self._supports_chunked and not self._bodiless:
             self.close_after_response = True
             self._reset_on_close(True)
         head = self._response_head(status, headers)
+        self._response = _ResponseState.STARTED
         if self._supports_chunked and not self._bodiless:
             head += b"transfer-encoding: chunked\r\n"
         self._transport.write(bytes(head) + b"\r\n")
@@ -449,6 +486,7 @@
 
     def end_response(self) -> None:
         """Send the last chunk, or let the connection end the body."""
+        self._response = _ResponseState.ENDED
         if self._bodiless or self._transport.is_closing():
             return
         if self._supports_chunked:
--- a/tests/router/test_httplistener.py
+++ b/tests/router/test_httplistener.py
@@ -120,3 +120,22 @@
             process.kill()
             with pytest.raises(ConnectionResetError):
                 caller.recv(4096)
+
+
+@INTERRUPTED
+def test_interrupted_chunked_response_is_followed_by_nothing(handler):
+    received, _, _ = exchange(handler, HTTP_1_1 * 2)
+    assert received.count(b"HTTP/1.1 200") == 1
+    assert not received.endswith(LAST_CHUNK)
+
+
+def test_response_inside_a_response_is_an_error_and_not_sent():
+    async def answer_twice(request, conn):
+        conn.start_response(200, [])
+        await conn.write(b"half")
+        conn.send_response(404, [], b"other")
+
+    received, _, errors = exchange(answer_twice, HTTP_1_1)
+    assert b"other" not in received
+    assert not received.endswith(LAST_CHUNK)
+    assert len(errors) == 1
