Frame a response by the version of its own request

The version of the request read last decided how the response in progress was framed: an HTTP/1.0 request pipelined behind an HTTP/1.1 one made the rest of a chunked stream go out without chunks and without the last one, and the other way round a stream to HTTP/1.0 got chunks.

Before: test_pipelined_request_of_another_version_does_not_change_the_framing fails.

--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -81,6 +81,7 @@
       arrived_s: Time at which the request head was complete.
       wants_close: True if the connection closes after the response, as the caller
         asked or its HTTP version implies.
+      supports_chunked: True if the response may be chunked, as from HTTP/1.1 on.
     """
 
     method: str = ""
@@ -89,6 +90,7 @@
     body: bytes = b""
     arrived_s: float = 0.0
     wants_close: bool = False
+    supports_chunked: bool = True
 
     def header(self, name: bytes) -> bytes:
         """Return the first header of a name, or empty bytes."""
@@ -292,7 +294,7 @@
         request.arrived_s = now()
         request.method = self._parser.get_method().decode("latin-1")
         request.wants_close = not self._parser.should_keep_alive()
-        self._supports_chunked = self._parser.get_http_version() == "1.1"
+        request.supports_chunked = self._parser.get_http_version() == "1.1"
         size = sum(len(n) + len(v) + 4 for n, v in request.headers)
         if size + len(request.target) > self._listener.limits.max_header_bytes:
             self._reject(431, "headers_too_large")
@@ -336,6 +338,7 @@
         self._response = _ResponseState.NONE
         self.close_after_response = request.wants_close
         self._bodiless = request.method == "HEAD"
+        self._supports_chunked = request.supports_chunked
         self._handler_task = asyncio.ensure_future(
             self._listener.handler(request, self)
         )
--- a/tests/router/test_httplistener.py
+++ b/tests/router/test_httplistener.py
@@ -139,3 +139,10 @@
     assert b"other" not in received
     assert not received.endswith(LAST_CHUNK)
     assert len(errors) == 1
+
+
+def test_pipelined_request_of_another_version_does_not_change_the_framing():
+    received, _, _ = exchange(send_whole, HTTP_1_1 + HTTP_1_0)
+    first, _, second = received.partition(LAST_CHUNK)
+    assert first.endswith(b"4\r\nhalf\r\n4\r\nhalf\r\n")
+    assert second.endswith(b"\r\n\r\nhalfhalf")
