--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -8,13 +8,15 @@
 
 __all__ = ["EventSplitter"]
 
-# Atomic, so that a CR LF is never taken for two line ends.
-LINE_END = rb"(?>\r\n|\n|\r)"
-BLANK_LINE = re.compile(LINE_END + LINE_END)
-LINE_START = rb"(?:\A|[\r\n])"
-# Lines that begin with a colon are comments.
-FIELD_LINE = re.compile(LINE_START + rb"[^:\r\n]")
-ID_LINE = re.compile(LINE_START + rb"id: ?([^\r\n]*)")
+# Two line ends in a row, of which CR LF is one.
+BLANK_LINE = re.compile(rb"\n\n|[\r\n]\r\n?")
+COMMENT = b":"
+ID_FIELD = b"id:"
+
+
+def _fields(data: bytes) -> list[bytes]:
+    """Return the lines that are neither blank nor comments."""
+    return [line for line in data.splitlines() if line and line[:1] != COMMENT]
 
 
 class EventSplitter:
@@ -42,16 +44,17 @@
         return data[:end]
 
     def _end_event(self, event: bytes) -> None:
-        if FIELD_LINE.search(event) is None:
+        fields = _fields(event)
+        if not fields:
             return
         self.event_count += 1
-        ids = ID_LINE.findall(event)
-        self.last_id = ids[-1] if ids else b""
+        ids = [line for line in fields if line.startswith(ID_FIELD)]
+        self.last_id = ids[-1][len(ID_FIELD) :].removeprefix(b" ") if ids else b""
 
     @property
     def in_event(self) -> bool:
         """Return whether an event has begun and not ended."""
-        return FIELD_LINE.search(self.tail) is not None
+        return bool(_fields(self.tail))
 
     def discard_tail(self) -> None:
         """Drop the incomplete event, which a resumed stream sends again."""
