The other data path: a stream that ends inside an event is broken off there, too

On a plain route the other data path relayed a stream of events without a length or chunks as complete wherever its connection ended, and recorded one of a keyed route so, to replay it to each repeat. Both read it through UpstreamCall, which now checks the end of an event stream as the router does; chat routes were safe, since a stream there must end with its last event.

Before: test_event_stream_broken_off_on_a_plain_route_is_not_relayed_as_complete (2) and test_event_stream_that_is_broken_off_is_not_recorded (2) fail.

--- a/cranberrysail/endpoints/upstream.py
+++ b/cranberrysail/endpoints/upstream.py
@@ -4,9 +4,11 @@
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.httpclient import HttpClientConn, connect
+from cranberrysail.router.sse import EventSplitter
 
 __all__ = ["OUTCOME_HEADER", "UpstreamCall", "UpstreamRequest", "open_call"]
 
+EVENT_STREAM = b"text/event-stream"
 OUTCOME_HEADER = "x-outcome"
 NOT_RUN = "not_run"
 
@@ -48,6 +50,7 @@
         super().__init__()
         self.sent = False
         self.reads = 0
+        self._events = EventSplitter()
 
     def write(self, request: UpstreamRequest, address: str) -> None:
         """Send the request.
@@ -78,14 +81,25 @@
         """Return the first value of a response header, or None."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Return whether the response is a stream of Server-Sent Events."""
+        return (self.header(b"content-type") or b"").startswith(EVENT_STREAM)
+
     async def read(self) -> bytes:
         """Return the body bytes received since the last read, empty at the end.
 
         Raises:
-          UpstreamError: If the connection ends before the body does.
+          UpstreamError: If the connection ends before the body does, or a stream of
+            events was broken off.
         """
         data = await super().read()
         self.reads += 1
+        if self.is_event_stream:
+            self._events.feed(data)
+            fault = "" if data else self._events.fault_at_end(self.framing)
+            if fault:
+                raise UpstreamError(fault, sent=True, started=True)
         return data
 
     async def read_all(self, limit: int) -> bytes:
@@ -95,8 +109,7 @@
           limit: Maximum size in bytes.
 
         Raises:
-          UpstreamError: If the connection ends before the body does, or the body
-            exceeds the limit.
+          UpstreamError: If the response is broken off, or the body exceeds the limit.
         """
         body = await self.read_up_to(limit)
         if len(body) > limit:
--- a/cranberrysail/front/gateway.py
+++ b/cranberrysail/front/gateway.py
@@ -27,7 +27,6 @@
 
 __all__ = ["Gateway", "LiveCall"]
 
-EVENT_STREAM = b"text/event-stream"
 RESUME_HEADER = b"last-event-id"
 MAX_RECORDED_BODY_BYTES = 16 * 1024 * 1024
 RESUME_DELAY_S = 0.2
@@ -240,14 +239,12 @@
 
     def _stream_response(self, live: LiveCall, action: Dispatch, sent_s: float) -> None:
         call = live.upstream
-        content_type = call.header(b"content-type") or b""
 
         def finish(complete: bool) -> None:
             self._finish_stream(live, complete)
 
-        is_event_stream = content_type.startswith(EVENT_STREAM)
         is_chat = live.arrived.route.kind is RouteKind.CHAT
-        if is_event_stream and is_chat and call.status == 200:
+        if call.is_event_stream and is_chat and call.status == 200:
             relay = EventRelay(
                 call,
                 self._limits.idle_s,
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 from cranberrysail.errors import UpstreamError
-from cranberrysail.router.bodyframing import BodyFraming
 from cranberrysail.router.call import Call
 from cranberrysail.router.clock import now
 from cranberrysail.router.connpool import ConnectionPool
@@ -333,7 +332,9 @@
             events = call.event_splitter.feed(data)
             if events:
                 await self._forward_events(call, conn, events)
-        _check_stream_end(call, conn)
+        fault = call.event_splitter.fault_at_end(conn.framing)
+        if fault:
+            raise UpstreamError(fault, sent=True, started=True)
         event_count = call.event_splitter.event_count - events_before
         self._selector.record_event_interval(
             call.service, stats, event_count, stats.last_byte_s - first_data_s
@@ -358,22 +359,6 @@
             await call.caller_conn.write(events)
 
 
-def _check_stream_end(call: Call, conn: HttpClientConn) -> None:
-    """Check that a stream whose body has ended was not broken off.
-
-    Raises:
-      UpstreamError: If it was.
-    """
-    if call.event_splitter.in_event:
-        raise UpstreamError("the stream ended inside an event", sent=True, started=True)
-    # The end of the connection does not tell an empty stream from one that was broken
-    # off before its first event.
-    if conn.framing is BodyFraming.CLOSE and not call.event_splitter.event_count:
-        raise UpstreamError(
-            "the connection closed before the first event", sent=True, started=True
-        )
-
-
 def _received_response(call: Call, conn: HttpClientConn) -> ReceivedResponse | None:
     if not conn.status:
         return None
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -6,6 +6,8 @@
 
 import re
 
+from cranberrysail.router.bodyframing import BodyFraming
+
 __all__ = ["EventSplitter"]
 
 # Two line ends in a row, of which CR LF is one.
@@ -56,6 +58,20 @@
         """Return whether an event has begun and not ended."""
         return bool(_fields(self.tail))
 
+    def fault_at_end(self, framing: BodyFraming) -> str:
+        """Return why a stream whose body has ended was broken off, empty if it was not.
+
+        Args:
+          framing: What delimits the body that has ended.
+        """
+        if self.in_event:
+            return "the stream ended inside an event"
+        # The end of the connection does not tell an empty stream from one that was
+        # broken off before its first event.
+        if framing is BodyFraming.CLOSE and not self.event_count:
+            return "the connection closed before the first event"
+        return ""
+
     def discard_tail(self) -> None:
         """Drop the incomplete event, which a resumed stream sends again."""
         self.tail = b""
--- a/tests/front/test_relay.py
+++ b/tests/front/test_relay.py
@@ -64,3 +64,37 @@
 
 def test_plain_response_delimited_by_close_is_complete():
     assert relay_body(b"fine", PlainRelay) == (b"fine", [True])
+
+
+EVENT_STREAM = b"content-type: text/event-stream\r\n"
+
+
+def read_whole(body, framing=b""):
+    """Read a response that is recorded before it is sent to its caller."""
+
+    async def main(loop):
+        response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body
+        loop.servers["10.0.1.1", 80] = lambda: Endpoint(response)
+        call = await open_call("10.0.1.1:80", 1.0)
+        call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
+        await call.wait_for_response()
+        return await call.read_all(1024)
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize("body", [EVENT + b"id: 2\nda", b""])
+def test_event_stream_broken_off_on_a_plain_route_is_not_relayed_as_complete(body):
+    with pytest.raises(UpstreamError):
+        relay_body(body, PlainRelay, EVENT_STREAM)
+
+
+@pytest.mark.parametrize("body", [EVENT + b"id: 2\nda", b""])
+def test_event_stream_that_is_broken_off_is_not_recorded(body):
+    with pytest.raises(UpstreamError):
+        read_whole(body, EVENT_STREAM)
+
+
+def test_whole_event_stream_on_a_plain_route_is_relayed_and_recorded():
+    assert relay_body(EVENT, PlainRelay, EVENT_STREAM) == (EVENT, [True])
+    assert read_whole(EVENT, EVENT_STREAM) == EVENT
