Do not take part of a response above a size limit for the whole

Readers of the store, of peers, of the log and of the list of hosts stopped at 64 MiB and took what they had for the response; the store's client then sent its next request on the connection with the rest still to come. All readers of whole bodies now use one method, which fails above its limit.

--- a/cranberrysail/endpoints/upstream.py
+++ b/cranberrysail/endpoints/upstream.py
@@ -102,22 +102,6 @@
                 raise UpstreamError(fault, sent=True, started=True)
         return data
 
-    async def read_all(self, limit: int) -> bytes:
-        """Return the whole body.
-
-        Args:
-          limit: Maximum size in bytes.
-
-        Raises:
-          UpstreamError: If the response is broken off, or the body exceeds the limit.
-        """
-        body = await self.read_up_to(limit)
-        if len(body) > limit:
-            raise UpstreamError(
-                "response body exceeds the size limit", sent=True, started=True
-            )
-        return body
-
 
 async def open_call(address: str, connect_s: float) -> UpstreamCall:
     """Connect to an endpoint.
--- a/cranberrysail/links/webclient.py
+++ b/cranberrysail/links/webclient.py
@@ -68,7 +68,7 @@
                 conn = await self._connection(parts.scheme, parts.netloc)
                 conn.send(_request(method, parts, headers or {}, body))
                 await conn.wait_for_head()
-                data = await conn.read_up_to(MAX_BODY_BYTES)
+                data = await conn.read_all(MAX_BODY_BYTES)
         except TimeoutError as exc:
             sent = conn is not None
             reason = f"no response within {self._timeout_s} s"
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -316,6 +316,29 @@
             parts += data
         return bytes(parts)
 
+    async def read_all(
+        self, max_bytes: int, read_timeout_s: float | None = None
+    ) -> bytes:
+        """Return the whole body.
+
+        Args:
+          max_bytes: Maximum size of the body.
+          read_timeout_s: Longest time without new data, or None for no limit.
+
+        Raises:
+          UpstreamError: If the connection ends before the body does, or the body
+            exceeds the limit.
+          TimeoutError: If no data arrives for ``read_timeout_s``.
+        """
+        body = await self.read_up_to(max_bytes, read_timeout_s)
+        if len(body) > max_bytes:
+            raise UpstreamError(
+                f"the response exceeds the limit of {max_bytes} bytes",
+                sent=True,
+                started=True,
+            )
+        return body
+
     def mark_idle(self) -> None:
         """Mark the connection as idle once its response was read."""
         self._busy = False
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -89,7 +89,7 @@
         return conn
 
     async def _read_body(self, conn: HttpClientConn) -> bytes:
-        data = await conn.read_up_to(MAX_RESPONSE_BYTES, READ_TIMEOUT_S)
+        data = await conn.read_all(MAX_RESPONSE_BYTES, READ_TIMEOUT_S)
         conn.mark_idle()
         if conn.status == STATUS_GONE:
             raise OffsetOutOfRangeError(
