Do not take a page that lost its records for an empty one

A response of the store without a length that is cut between its offsets and the first record read as a page without records, so a router believed it was up to date, and told its peers so. The page begins with the end of the log, which tells the two apart.

Before: test_page_without_the_records_that_it_announces_raises_store_error fails.

--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -141,13 +141,17 @@
         )
         if len(body) < OFFSETS_BYTES:
             raise StoreError("the store's response is truncated; read again")
-        _, first = struct.unpack_from(">QQ", body)
+        end, first = struct.unpack_from(">QQ", body)
         if first > start:
             raise OffsetOutOfRangeError(
                 f"records before offset {first} have been dropped"
             )
         records = decode_records(body[OFFSETS_BYTES:])
-        return Page(records, start + _count_records(body[OFFSETS_BYTES:]))
+        count = _count_records(body[OFFSETS_BYTES:])
+        # A page may leave records for the next read, but not all of them.
+        if end > start and not count:
+            raise StoreError("the store's page is truncated: no records; read again")
+        return Page(records, start + count)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Write a record."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -193,3 +193,9 @@
 def test_stalled_response_raises_store_error():
     with pytest.raises(StoreError, match="stopped"):
         read_in_pieces(0.8)
+
+
+def test_page_without_the_records_that_it_announces_raises_store_error():
+    page = struct.pack(">QQ", 6, 0)
+    with pytest.raises(StoreError, match="truncated"):
+        call_store(lambda *_: (200, page), lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
