Over TLS, an end of the connection without a closure alert does not end a response

The list of hosts and the log may be read over https. asyncio reports the end of a TLS connection in the same way with and without the alert by which the other side closes it, so a response without a length that was cut on its way counted as whole (RFC 9112, section 9.8). The state of the TLS session tells the two apart.

Before: test_tls_response_cut_without_a_closure_alert_is_not_whole fails. The certificate of tests moves to a module of its own.

--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -111,11 +111,25 @@
             and self.status
             and self.framing is BodyFraming.CLOSE
             and not self._skipping
+            and self._ended_by_server()
         ):
             self._finish()
         self.reusable = False
         return False
 
+    def _ended_by_server(self) -> bool:
+        """Return whether the server ended the connection, as TLS shows by an alert.
+
+        Without TLS, the end of the connection is all there is (RFC 9112, section 9.8).
+        """
+        tls = self._transport.get_extra_info("ssl_object")
+        if tls is None:
+            return True
+        try:
+            return not tls.read(1)
+        except OSError:
+            return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request."""
         self.reusable = False
--- a/tests/router/test_httpclient.py
+++ b/tests/router/test_httpclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import ssl
 from dataclasses import dataclass
 
 import pytest
@@ -11,6 +12,7 @@
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.bodyframing import BodyFraming
 from cranberrysail.router.httpclient import connect
+from tests.certificate import make_certificate
 from tests.router.virtualloop import run_virtual
 
 ADDRESS = "10.0.1.1:80"
@@ -24,7 +26,7 @@
 
     Attributes:
       pieces: Data, sent one piece at a time.
-      end: ``close`` or ``reset`` for the end of the connection, empty to keep it.
+      end: ``close``, ``abort`` or ``reset``, or empty to keep the connection.
     """
 
     pieces: list[bytes]
@@ -49,6 +51,8 @@
             await asyncio.sleep(PIECE_DELAY_S)
         if script.end == "close":
             self.transport.close()
+        elif script.end == "abort":
+            self.transport.abort()
         elif script.end == "reset":
             self.transport.reset()
 
@@ -151,3 +155,35 @@
         return await fetch(conn), conn.can_send
 
     assert run_requests([script], scenario) == (b"ab", False)
+
+
+def fetch_over_tls(directory, script):
+    """Fetch a response over a real TLS connection."""
+    make_certificate(directory)
+    server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server_tls.load_cert_chain(directory / "cert.pem", directory / "key.pem")
+    client_tls = ssl.create_default_context(cafile=directory / "cert.pem")
+    client_tls.check_hostname = False
+
+    async def main():
+        server = await asyncio.get_running_loop().create_server(
+            lambda: ScriptedServer([script]), "127.0.0.1", 0, ssl=server_tls
+        )
+        host, port = server.sockets[0].getsockname()
+        try:
+            return await fetch(await connect(f"{host}:{port}", 5.0, client_tls))
+        finally:
+            server.close()
+
+    return asyncio.run(main())
+
+
+def test_tls_response_cut_without_a_closure_alert_is_not_whole(tmp_path):
+    script = Script([response(b"half", BodyFraming.CLOSE)], "abort")
+    with pytest.raises(UpstreamError):
+        fetch_over_tls(tmp_path, script)
+
+
+def test_tls_response_that_ends_with_a_closure_alert_is_whole(tmp_path):
+    script = Script([response(b"whole", BodyFraming.CLOSE)], "close")
+    assert fetch_over_tls(tmp_path, script) == b"whole"
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,16 +1,11 @@
 """Tests of a router process: TLS for callers and the operators' token."""
 
 import asyncio
-import datetime
 import hashlib
 import http.client
 import ssl
 
 import pytest
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
 
 from cranberrysail.process import RouterProcess
 from cranberrysail.settings import (
@@ -21,6 +16,7 @@
     PlatformSettings,
     Settings,
 )
+from tests.certificate import make_certificate
 
 TOKEN = "operator-token"
 KEYS = PeerKeys(
@@ -29,32 +25,6 @@
 )
 
 
-def make_certificate(directory):
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
-    not_before = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(1)
-        .not_valid_before(not_before)
-        .not_valid_after(not_before + datetime.timedelta(days=36500))
-        .sign(key, hashes.SHA256())
-    )
-    (directory / "cert.pem").write_bytes(
-        certificate.public_bytes(serialization.Encoding.PEM)
-    )
-    (directory / "key.pem").write_bytes(
-        key.private_bytes(
-            serialization.Encoding.PEM,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        )
-    )
-
-
 def fetch(port, path, context=None, headers=None):
     if context is None:
         conn = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
