Resume a stream after the last event sent, also if its caller had resumed it

On the other data path a stream that its caller had resumed was resumed by the router with two Last-Event-Id headers. The endpoint went by the caller's, so events came twice. The router's replaces it.

Before: test_interrupted_stream_that_its_caller_resumed_has_no_event_twice fails.

--- a/cranberrysail/endpoints/upstream.py
+++ b/cranberrysail/endpoints/upstream.py
@@ -1,6 +1,6 @@
 """HTTP calls to endpoints, each on a new connection."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.httpclient import HttpClientConn, connect
@@ -8,6 +8,7 @@
 
 __all__ = ["OUTCOME_HEADER", "UpstreamCall", "UpstreamRequest", "open_call"]
 
+LAST_EVENT_ID = b"last-event-id"
 EVENT_STREAM = b"text/event-stream"
 OUTCOME_HEADER = "x-outcome"
 NOT_RUN = "not_run"
@@ -22,6 +23,15 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes = b""
 
+    def resumed_after(self, event_id: bytes) -> "UpstreamRequest":
+        """Return the request that continues its stream after an event.
+
+        Args:
+          event_id: Id of the event.
+        """
+        others = tuple(item for item in self.headers if item[0] != LAST_EVENT_ID)
+        return replace(self, headers=(*others, (LAST_EVENT_ID, event_id)))
+
     def head(self, address: str) -> bytes:
         """Return the encoded request line and headers.
 
--- a/cranberrysail/front/gateway.py
+++ b/cranberrysail/front/gateway.py
@@ -27,7 +27,6 @@
 
 __all__ = ["Gateway", "LiveCall"]
 
-RESUME_HEADER = b"last-event-id"
 MAX_RECORDED_BODY_BYTES = 16 * 1024 * 1024
 RESUME_DELAY_S = 0.2
 DROPPED_HEADERS = frozenset((b"date", b"x-request-id"))
@@ -273,14 +272,8 @@
     def _resume_callback(self, live: LiveCall, address: str):
         async def resume(event_id: bytes) -> UpstreamCall:
             await asyncio.sleep(RESUME_DELAY_S)
-            request = UpstreamRequest(
-                live.request.method,
-                live.request.target,
-                (*live.request.headers, (RESUME_HEADER, event_id)),
-                live.request.body,
-            )
             call = await open_call(address, self._limits.connect_s)
-            call.write(request, address)
+            call.write(live.request.resumed_after(event_id), address)
             try:
                 async with asyncio.timeout(self._limits.connect_s):
                     await call.wait_for_response()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -157,6 +157,17 @@
     assert text_of(data) == expected_text(body, 6)
 
 
+def test_interrupted_stream_that_its_caller_resumed_has_no_event_twice(runner, fleet):
+    set_on_engines(fleet, "abort_after_tokens", 4)
+    headers = AUTH_HEADERS | {"last-event-id": "2"}
+    body = chat_body("resume me once more", 6)
+    path = "/v1/chat/completions"
+    _, _, data = runner.run(send(fleet, "post", path, body, headers))
+    set_on_engines(fleet, "abort_after_tokens", 0)
+    ids = [line for line in data.split(b"\n") if line.startswith(b"id: ")]
+    assert ids == [b"id: 3", b"id: 4", b"id: 5", b"id: 6"]
+
+
 def test_interrupted_stream_that_cannot_be_resumed_ends_with_an_error(runner, fleet):
     set_on_engines(fleet, "abort_after_tokens", 2)
     set_on_engines(fleet, "can_resume", False)
