Property test: responses cut anywhere are whole or visibly broken off

Any of three framings, streams and plain responses, two attempts, callers of HTTP/1.0 and 1.1, cut at any byte, with a reset or without.

--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -1,8 +1,11 @@
 """Responses that endpoints break off: whatever reaches a caller never looks whole."""
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.router.simulatedfleet import (
     SEAL,
@@ -186,3 +189,105 @@
     caller, _ = send_to([cut], data)
     assert FIRST_EVENT in caller.data
     assert caller.was_reset
+
+
+@dataclass(frozen=True)
+class Broken:
+    """How an endpoint's response ends before it should.
+
+    Attributes:
+      framing: Header line by which the body is delimited, empty for none.
+      missing: Bytes of the encoded body that are not sent; 0 for a whole response.
+      reset: True if the connection ends with a reset.
+      line_end: Line end of events.
+    """
+
+    framing: str
+    missing: int
+    reset: bool
+    line_end: bytes
+
+    @property
+    def looks_whole(self) -> bool:
+        """Return whether nothing of the transport shows that the body is cut."""
+        return not self.framing and not self.reset
+
+
+BROKEN = st.builds(
+    Broken,
+    st.sampled_from(["", CHUNKED, "Content-Length: {}\r\n"]),
+    st.integers(0, 70),
+    st.booleans(),
+    st.sampled_from([b"\n", b"\r\n"]),
+)
+
+
+def break_off(broken, sent_bodies):
+    """Return a behaviour of a worker that sends three events, or the rest of them."""
+
+    async def answer(conn, received):
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        events = b"".join(
+            b"id: %d\ndata: part %d\n\n" % (n, n) for n in range(first, 4)
+        ).replace(b"\n", broken.line_end)
+        body = chunk(events) + b"0\r\n\r\n" if broken.framing == CHUNKED else events
+        sent = body[: max(0, len(body) - broken.missing)]
+        sent_bodies.append(sent)
+        attempt = received.headers["cranberrysail-attempt-id"]
+        head = f"HTTP/1.1 200 X\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+        head += broken.framing.format(len(body)) + "\r\n"
+        conn.transport.write(head.encode() + sent)
+        await asyncio.sleep(0.05)
+        if broken.reset:
+            conn.transport.reset()
+        else:
+            conn.transport.close()
+
+    return answer
+
+
+def body_of(caller):
+    """Return the body that a caller received, without chunk framing."""
+    head, _, body = caller.data.partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" not in head:
+        return body
+    parts = []
+    while body and not body.startswith(b"0\r\n"):
+        size, _, body = body.partition(b"\r\n")
+        parts.append(body[: int(size, 16)])
+        body = body[int(size, 16) + 2 :]
+    return b"".join(parts)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=150)
+@given(
+    path=st.sampled_from(["/chat/1", "/resumable/1", "/book/1", "/look/1"]),
+    attempts=st.tuples(BROKEN, BROKEN),
+    http_1_0=st.booleans(),
+)
+def test_responses_cut_anywhere_are_whole_or_visibly_broken_off(
+    path, attempts, http_1_0
+):
+    sent_bodies = []
+    answers = [break_off(broken, sent_bodies) for broken in attempts]
+    data = make_request(path)
+    if http_1_0:
+        data = data.replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+    caller, sent = send_to(answers, data)
+    last = attempts[sent - 1]
+    if caller.status != 200 or not caller.is_complete:
+        assert last.missing or last.reset
+        return
+    assert not last.missing or last.looks_whole
+    if path.startswith(("/book", "/look")):
+        sent_body = sent_bodies[-1]
+        # The chunk is framed by its size, two line ends and the last chunk.
+        plain = sent_body[4:-7] if last.framing == CHUNKED else sent_body
+        assert body_of(caller) == plain
+        return
+    lines = body_of(caller).splitlines()
+    ids = [line for line in lines if line.startswith(b"id: ")]
+    assert ids == [b"id: %d" % n for n in range(1, len(ids) + 1)]
+    assert ids
+    assert lines[-1] == b""
+    assert len(ids) == 3 or last.missing
