Random scenarios: streams without framing, and streams closed inside an event

One stream in five has neither a length nor chunks, and some of those that stop midway are closed inside an event instead of reset. The check of whole responses fails if the end of a stream is not checked. In-memory connections deliver their end after data held back for a paused reader.

--- a/tests/router/randomscenario.py
+++ b/tests/router/randomscenario.py
@@ -117,17 +117,35 @@
                 conn.reply(200, SEAL, b"once more", attempt)
 
     async def stream(self, conn, received, attempt: str, draw: float) -> None:
-        """Send the events, five in all, that the caller lacks, or abort midway."""
+        """Send the events, five in all, that the caller lacks, or stop midway.
+
+        One stream in five has no framing of its own and ends with its connection. Of
+        those that stop midway, some are reset and some closed inside an event.
+        """
+        framed = self.rng.random() < 0.8
         head = f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
-        conn.transport.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        framing = "Transfer-Encoding: chunked\r\n" if framed else ""
+        conn.transport.write(f"{head}{framing}\r\n".encode())
+
+        def write(data: bytes) -> None:
+            conn.transport.write(
+                b"%x\r\n%b\r\n" % (len(data), data) if framed else data
+            )
+
         for number in range(int(received.headers.get("last-event-id", 0)) + 1, 6):
-            event = f"id: {number}\ndata: <{attempt}>\n\n".encode()
-            conn.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+            write(f"id: {number}\ndata: <{attempt}>\n\n".encode())
             await asyncio.sleep(0.02)
             if draw < 0.17 and number == 3:
                 conn.transport.reset()
                 return
-        conn.transport.write(b"0\r\n\r\n")
+            if draw < 0.24 and number == 3:
+                write(b"id: 4\nda")
+                conn.transport.close()
+                return
+        if framed:
+            conn.transport.write(b"0\r\n\r\n")
+        else:
+            conn.transport.close()
 
     def start_worker(self, name: str, service: str, zone: str, cold_s: float) -> None:
         """Start a worker, or restart a known one as a new incarnation."""
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -124,6 +124,14 @@
     assert caller.data.endswith(b"\r\n\r\nfine")
 
 
+@pytest.mark.parametrize("path", ["/book/1", "/chat/1"])
+def test_large_response_delimited_by_close_is_delivered_whole(path):
+    events = b"".join(b"id: %d\ndata: %b\n\n" % (n, b"x" * 5000) for n in range(200))
+    caller, _ = send_to([respond(events)], make_request(path))
+    assert caller.is_complete
+    assert caller.data.count(b"\ndata: ") == 200
+
+
 def test_stream_is_not_resumed_after_an_event_without_an_id():
     events = FIRST_EVENT + b"data: no id\n\n"
     cut = respond(chunk(events), CHUNKED)
--- a/tests/router/test_random_scenario.py
+++ b/tests/router/test_random_scenario.py
@@ -10,6 +10,7 @@
 from cranberrysail.router.follower import RoutingState
 from cranberrysail.router.headercodec import ResponseHead
 from cranberrysail.router.outcome import NextStep
+from cranberrysail.router.sse import EventSplitter
 from tests.router.randomscenario import RandomScenario
 from tests.router.virtualloop import run_virtual
 
@@ -57,6 +58,11 @@
     assert has_violation("no seal")
 
 
+def test_check_detects_stream_that_ends_inside_an_event(monkeypatch):
+    monkeypatch.setattr(EventSplitter, "fault_at_end", lambda self, framing: "")
+    assert has_violation("got b")
+
+
 def test_check_detects_excess_calls_to_cold_endpoint(monkeypatch):
     monkeypatch.setattr(ColdLimiter, "allows", lambda *args: True)
     monkeypatch.setattr("tests.router.randomscenario.CALLS_PER_S", 400.0)
--- a/tests/router/virtualloop.py
+++ b/tests/router/virtualloop.py
@@ -69,11 +69,17 @@
         if self._paused:
             self._buffered.append(data)
             return
+        if not data:
+            self._receive_eof()
+            return
         self.protocol.data_received(data)
 
     def _receive_eof(self) -> None:
         if self._finished or self._closing:
             return
+        if self._paused:
+            self._buffered.append(b"")
+            return
         if not self.protocol.eof_received():
             self.close()
 
