Tell a stream of events by its content type, on both data paths alike

On the platform's data path a response was read as a stream only on a streaming route. One of a lookup was buffered, and delivered as whole where its connection ended inside an event.

Before: test_event_stream_on_a_plain_route_that_ends_inside_an_event_never_looks_complete and test_compressed_event_stream_is_relayed_as_it_is fail.

--- a/cranberrysail/endpoints/upstream.py
+++ b/cranberrysail/endpoints/upstream.py
@@ -4,12 +4,11 @@
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.httpclient import HttpClientConn, connect
-from cranberrysail.router.sse import EventSplitter
+from cranberrysail.router.sse import EventSplitter, is_event_stream
 
 __all__ = ["OUTCOME_HEADER", "UpstreamCall", "UpstreamRequest", "open_call"]
 
 LAST_EVENT_ID = b"last-event-id"
-EVENT_STREAM = b"text/event-stream"
 OUTCOME_HEADER = "x-outcome"
 NOT_RUN = "not_run"
 
@@ -94,7 +93,7 @@
     @property
     def is_event_stream(self) -> bool:
         """Return whether the response is a stream of Server-Sent Events."""
-        return (self.header(b"content-type") or b"").startswith(EVENT_STREAM)
+        return is_event_stream(self.headers)
 
     async def read(self) -> bytes:
         """Return the body bytes received since the last read, empty at the end.
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -20,6 +20,7 @@
 from cranberrysail.router.model import CallKind
 from cranberrysail.router.outcome import Attempt, AttemptResult, ReceivedResponse
 from cranberrysail.router.selector import Choice, Selector
+from cranberrysail.router.sse import is_event_stream
 
 __all__ = ["AttemptRunner"]
 
@@ -219,8 +220,8 @@
         if conn.status < 300 and not response.from_endpoint:
             conn.reusable = False
             return Attempt(AttemptResult.UNKNOWN, "response has no valid seal")
-        streaming = call.route.kind is CallKind.STREAM and conn.status < 300
-        if streaming:
+        is_stream = call.route.kind is CallKind.STREAM or is_event_stream(conn.headers)
+        if is_stream and conn.status < 300:
             return await self._forward_stream(call, endpoint, conn, pending_id, sent_s)
         return await self._forward_response(call, endpoint, conn, pending_id, sent_s)
 
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -8,7 +8,9 @@
 
 from cranberrysail.router.bodyframing import BodyFraming
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "is_event_stream"]
+
+CONTENT_TYPE = b"text/event-stream"
 
 # Two line ends in a row, of which CR LF is one.
 BLANK_LINE = re.compile(rb"\n\n|[\r\n]\r\n?")
@@ -21,6 +23,17 @@
     return [line for line in data.splitlines() if line and line[:1] != COMMENT]
 
 
+def is_event_stream(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether a response is a stream of events that can be split.
+
+    Args:
+      headers: Headers of the response, names in lower case.
+    """
+    by_name = dict(headers)
+    is_encoded = b"content-encoding" in by_name
+    return by_name.get(b"content-type", b"").startswith(CONTENT_TYPE) and not is_encoded
+
+
 class EventSplitter:
     """Buffers the bytes of an event until it is complete.
 
--- a/tests/front/test_relay.py
+++ b/tests/front/test_relay.py
@@ -98,3 +98,8 @@
 def test_whole_event_stream_on_a_plain_route_is_relayed_and_recorded():
     assert relay_body(EVENT, PlainRelay, EVENT_STREAM) == (EVENT, [True])
     assert read_whole(EVENT, EVENT_STREAM) == EVENT
+
+
+def test_compressed_event_stream_is_relayed_as_it_is():
+    headers = EVENT_STREAM + b"content-encoding: gzip\r\n"
+    assert relay_body(b"\x1f\x8bpacked", PlainRelay, headers)[1] == [True]
--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -99,6 +99,14 @@
     assert [caller.data.count(b"data: part %d\n" % n) for n in (1, 2, 3)] == [1, 1, 1]
 
 
+def test_event_stream_on_a_plain_route_that_ends_inside_an_event_never_looks_complete():
+    headers = "Content-Type: text/event-stream\r\n"
+    cut = respond(FIRST_EVENT + PART_OF_AN_EVENT, headers)
+    caller, _ = send_to([cut], make_request("/look/1"))
+    assert FIRST_EVENT in caller.data
+    assert not caller.is_complete
+
+
 def test_stream_that_closes_before_its_first_event_is_not_delivered():
     caller, _ = send_to([respond(b"")], make_request("/chat/1"))
     assert caller.status == 502
