Do not set options of a caller's connection that is closed

Starting a response without chunks on a closed connection raised an error of the socket since such connections are set to reset.

Before: test_response_to_an_http_1_0_caller_that_left_is_no_error fails.

--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -500,9 +500,10 @@
     def _reset_on_close(self, enabled: bool) -> None:
         """Set whether the end of the connection is a reset, whoever closes it."""
         sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            linger = struct.pack("ii", enabled, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if sock is None or self._transport.is_closing():
+            return
+        linger = struct.pack("ii", enabled, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def abort(self) -> None:
         """Drop the connection, so that a truncated response cannot look complete."""
--- a/tests/router/test_httplistener.py
+++ b/tests/router/test_httplistener.py
@@ -1,6 +1,7 @@
 """Responses to callers end as whole or visibly broken off, also over HTTP/1.0."""
 
 import asyncio
+import contextlib
 import socket
 import subprocess
 import sys
@@ -81,6 +82,17 @@
     assert reset
 
 
+def test_response_to_an_http_1_0_caller_that_left_is_no_error():
+    async def respond_late(request, conn):
+        conn.close()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(1)
+        conn.start_response(200, [])
+
+    received, _, errors = exchange(respond_late, HTTP_1_0)
+    assert (received, errors) == (b"", [])
+
+
 def test_whole_response_to_an_http_1_0_caller_ends_without_a_reset():
     received, reset, errors = exchange(send_whole, HTTP_1_0)
     assert received.endswith(b"\r\n\r\nhalfhalf")
