--- a/cranberrysail/endpoints/upstream.py
+++ b/cranberrysail/endpoints/upstream.py
@@ -53,12 +53,14 @@
     Attributes:
       sent: True once part of the request may have reached the endpoint.
       reads: Number of completed reads of the body.
+      is_event_stream: Whether the response is a stream of Server-Sent Events.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.sent = False
         self.reads = 0
+        self.is_event_stream = False
         self._events = EventSplitter()
 
     def write(self, request: UpstreamRequest, address: str) -> None:
@@ -80,6 +82,7 @@
             that it did not run the request.
         """
         await self.wait_for_head()
+        self.is_event_stream = is_event_stream(self.headers)
         outcome = self.header(OUTCOME_HEADER.encode())
         if self.status >= 429 and outcome == NOT_RUN.encode():
             raise UpstreamError(
@@ -90,11 +93,6 @@
         """Return the first value of a response header, or None."""
         return next((value for key, value in self.headers if key == name), None)
 
-    @property
-    def is_event_stream(self) -> bool:
-        """Return whether the response is a stream of Server-Sent Events."""
-        return is_event_stream(self.headers)
-
     async def read(self) -> bytes:
         """Return the body bytes received since the last read, empty at the end.
 
