--- a/tests/links/test_webclient.py
+++ b/tests/links/test_webclient.py
@@ -5,7 +5,7 @@
 from cranberrysail.errors import UpstreamError
 from cranberrysail.links import webclient
 from cranberrysail.links.webclient import WebClient
-from tests.router.test_httpclient import ADDRESS, Script, ScriptedServer
+from tests.router.scriptedserver import ADDRESS, Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + b"x" * 400
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 
 from cranberrysail.platform.store import PlatformStore, decode_records, encode_record
 from cranberrysail.router.store import OffsetOutOfRangeError, StoreError, Topic
+from tests.router.scriptedserver import Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
 ADDRESS = ("10.9.0.1", 80)
@@ -199,3 +200,37 @@
     page = struct.pack(">QQ", 6, 0)
     with pytest.raises(StoreError, match="truncated"):
         call_store(lambda *_: (200, page), lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+
+
+def read_cut(body, size, call):
+    """Read a response without a length whose connection ends after some bytes."""
+    script = Script([b"HTTP/1.1 200 OK\r\n\r\n" + body[:size]], "close")
+
+    async def main(loop):
+        loop.servers[ADDRESS] = lambda: ScriptedServer([script])
+        return await call(PlatformStore("10.9.0.1:80"))
+
+    return run_virtual(main)
+
+
+def test_cut_page_has_no_more_than_the_records_that_arrived():
+    records = [("a", b"1"), ("b", b"2"), ("c", b"3")]
+    encoded = [encode_record(key, value) for key, value in records]
+    body = struct.pack(">QQ", 7, 0) + b"".join(encoded)
+    arrived = {16 + sum(map(len, encoded[:n])): n for n in range(1, 4)}
+    for size in range(len(body) + 1):
+        if size not in arrived:
+            with pytest.raises(StoreError):
+                read_cut(body, size, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+            continue
+        page = read_cut(body, size, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+        assert page.records == tuple(records[: arrived[size]])
+        assert page.next_offset == 4 + arrived[size]
+
+
+def test_cut_snapshot_is_an_error():
+    items = [{"key": k, "value": "MQ==", "offset": 4} for k in ("a", "b")]
+    body = json.dumps({"items": items, "has_more": False, "end": 6}).encode()
+    for size in range(len(body)):
+        with pytest.raises(StoreError):
+            read_cut(body, size, lambda s: s.read_snapshot(Topic.ENDPOINTS))
--- a/tests/router/test_httpclient.py
+++ b/tests/router/test_httpclient.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import ssl
-from dataclasses import dataclass
 
 import pytest
 from hypothesis import given, settings
@@ -13,48 +12,10 @@
 from cranberrysail.router.bodyframing import BodyFraming
 from cranberrysail.router.httpclient import connect
 from tests.certificate import make_certificate
+from tests.router.scriptedserver import ADDRESS, Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
-ADDRESS = "10.0.1.1:80"
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
-PIECE_DELAY_S = 0.01
-
-
-@dataclass
-class Script:
-    """What a server sends in response to one request.
-
-    Attributes:
-      pieces: Data, sent one piece at a time.
-      end: ``close``, ``abort`` or ``reset``, or empty to keep the connection.
-    """
-
-    pieces: list[bytes]
-    end: str = ""
-
-
-class ScriptedServer(asyncio.Protocol):
-    """Answers the requests of a connection as scripted."""
-
-    def __init__(self, scripts):
-        self.scripts = list(scripts)
-
-    def connection_made(self, transport):
-        self.transport = transport
-
-    def data_received(self, data):
-        self.task = asyncio.ensure_future(self.send(self.scripts.pop(0)))
-
-    async def send(self, script):
-        for piece in script.pieces:
-            self.transport.write(piece)
-            await asyncio.sleep(PIECE_DELAY_S)
-        if script.end == "close":
-            self.transport.close()
-        elif script.end == "abort":
-            self.transport.abort()
-        elif script.end == "reset":
-            self.transport.reset()
 
 
 def run_requests(scripts, scenario):
--- a/tests/router/test_httpstore.py
+++ b/tests/router/test_httpstore.py
@@ -5,7 +5,7 @@
 from cranberrysail.router import httpstore
 from cranberrysail.router.httpstore import HttpStoreClient
 from cranberrysail.router.store import StoreError
-from tests.router.test_httpclient import ADDRESS, Script, ScriptedServer
+from tests.router.scriptedserver import ADDRESS, Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + b"x" * 400
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -2,9 +2,13 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from cranberrysail.router.store import Topic
+from cranberrysail.router import peers
+from cranberrysail.router.peers import PeerStore
+from cranberrysail.router.store import StoreError, Topic
+from tests.router.scriptedserver import ADDRESS, Script, ScriptedServer
 from tests.router.simulatedfleet import SimulatedFleet, make_config, plain_answer
 from tests.router.virtualloop import run_virtual
 
@@ -136,3 +140,24 @@
         return world.routers[other].routing_state.tables.version
 
     assert run_virtual(main) == 4
+
+
+@pytest.mark.parametrize("value", [b"1", b"x" * 4000], ids=["plain", "compressed"])
+def test_cut_response_of_a_peer_is_an_error(value):
+    records = (("a", value), ("b", value))
+    response = peers._PeerResponse(peers._encode(records), 6, 0.1, True)
+    body = msgspec.msgpack.encode(response)
+
+    def read(size):
+        script = Script([b"HTTP/1.1 200 OK\r\n\r\n" + body[:size]], "close")
+
+        async def main(loop):
+            loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script])
+            return await PeerStore(ADDRESS).read(Topic.ENDPOINTS, 4, 0.0)
+
+        return run_virtual(main)
+
+    assert read(len(body)).records == records
+    for size in range(len(body)):
+        with pytest.raises(StoreError):
+            read(size)
--- a/tests/router/test_serving.py
+++ b/tests/router/test_serving.py
@@ -176,6 +176,25 @@
     assert received.path == "/book/1"
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        make_request("/book/1", body=b"x" * 100)[:-1],
+        make_request("/book/1", Content_Length="", Transfer_Encoding="chunked")
+        + b"4\r\nhalf\r\n",
+    ],
+    ids=["with-length", "chunked"],
+)
+def test_request_cut_inside_its_body_reaches_no_endpoint(data):
+    async def main(world):
+        caller = await world.send(data)
+        caller.transport.close()
+        await asyncio.sleep(5.0)
+        return world
+
+    assert not received_requests(run_scenario(main), "plain")
+
+
 def test_pipelined_requests_are_answered_in_order():
     async def main(world):
         caller = await world.send(
