A relay that is finished early does not end as if it were complete

When a relay of the other data path was finished from outside, its next read ended the body in the ordinary way, with the last chunk. Only calls whose caller has left are finished so today; the relay now raises, and the caller's connection is aborted.

Before: test_relay_that_is_finished_early_does_not_end_as_complete fails.

--- a/cranberrysail/front/relay.py
+++ b/cranberrysail/front/relay.py
@@ -91,8 +91,6 @@
         try:
             data = await self._call.read()
         except UpstreamError:
-            if self._finished:
-                raise StopAsyncIteration from None
             self.finish(False)
             raise
         if self.on_first_byte is not None:
--- a/tests/front/test_relay.py
+++ b/tests/front/test_relay.py
@@ -1,38 +1,24 @@
 """Relays of endpoints' streams to callers, in virtual time."""
 
-import asyncio
-
 import pytest
 
 from cranberrysail.endpoints.upstream import UpstreamRequest, open_call
 from cranberrysail.errors import UpstreamError
 from cranberrysail.front.relay import DONE_EVENT, ERROR_EVENT, EventRelay, PlainRelay
+from tests.router.scriptedserver import Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
 IDLE_S = 5.0
 EVENT = b"id: 1\ndata: part 1\n\n"
 
 
-class Endpoint(asyncio.Protocol):
-    """Sends a response to any request and closes the connection."""
-
-    def __init__(self, response):
-        self.response = response
-
-    def connection_made(self, transport):
-        self.transport = transport
-
-    def data_received(self, data):
-        self.transport.write(self.response)
-        self.transport.close()
-
-
 def relay_body(body, make_relay, framing=b""):
     """Relay one response; return what is relayed, and whether it counts as complete."""
 
     async def main(loop):
         response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body
-        loop.servers["10.0.1.1", 80] = lambda: Endpoint(response)
+        script = Script([response], "close")
+        loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script])
         call = await open_call("10.0.1.1:80", 1.0)
         call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
         await call.wait_for_response()
@@ -66,6 +52,21 @@
     assert relay_body(b"fine", PlainRelay) == (b"fine", [True])
 
 
+def test_relay_that_is_finished_early_does_not_end_as_complete():
+    async def main(loop):
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+        loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([Script([response])])
+        call = await open_call("10.0.1.1:80", 1.0)
+        call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
+        await call.wait_for_response()
+        relay = PlainRelay(call, IDLE_S, lambda complete: None)
+        loop.call_later(0.5, relay.finish, False)
+        return [part async for part in relay]
+
+    with pytest.raises(UpstreamError):
+        run_virtual(main)
+
+
 EVENT_STREAM = b"content-type: text/event-stream\r\n"
 
 
@@ -74,7 +75,8 @@
 
     async def main(loop):
         response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body
-        loop.servers["10.0.1.1", 80] = lambda: Endpoint(response)
+        script = Script([response], "close")
+        loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script])
         call = await open_call("10.0.1.1:80", 1.0)
         call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
         await call.wait_for_response()
