A response that switches protocols ends its attempt as an invalid one

The router asks for no other protocol. Such a response raised in the connection's callback, which ended the connection too, but as an unhandled error.

Before: test_response_that_switches_protocols_fails_without_an_internal_error fails.

--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -100,7 +100,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(f"invalid HTTP response ({type(exc).__name__})")
             self.close()
 
--- a/tests/router/test_httpclient.py
+++ b/tests/router/test_httpclient.py
@@ -148,3 +148,18 @@
 def test_tls_response_that_ends_with_a_closure_alert_is_whole(tmp_path):
     script = Script([response(b"whole", BodyFraming.CLOSE)], "close")
     assert fetch_over_tls(tmp_path, script) == b"whole"
+
+
+def test_response_that_switches_protocols_fails_without_an_internal_error():
+    switching = b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nother"
+    errors = []
+
+    async def scenario(conn):
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+        with pytest.raises(UpstreamError, match="invalid"):
+            await fetch(conn)
+
+    run_requests([Script([switching], "close")], scenario)
+    assert errors == []
