Bound the bytes that are held for an event that does not end

A stream without a blank line was held whole in memory until its end: on the platform's data path always, on the other since its plain routes check the end of streams. The limit of 1 MiB that chat routes of the other data path had is now the splitter's; above it the stream counts as broken off.

Before: test_event_above_the_size_limit_is_an_error fails.

--- a/cranberrysail/front/relay.py
+++ b/cranberrysail/front/relay.py
@@ -16,7 +16,6 @@
     b'"the response was interrupted and not resumed; repeat the request"}}\n\n'
 )
 MAX_RESUMES = 2
-MAX_EVENT_BYTES = 1024 * 1024
 
 ResumeCallback = Callable[[bytes], Awaitable[UpstreamCall]]
 FinishCallback = Callable[[bool], None]
@@ -155,8 +154,6 @@
                     continue
                 return self._end_with(False, ERROR_EVENT)
             events = self._splitter.feed(data)
-            if len(self._splitter.tail) > MAX_EVENT_BYTES:
-                self._call.close()
             if events:
                 if self.on_first_byte is not None:
                     self._report_first_byte()
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -6,12 +6,14 @@
 
 import re
 
+from cranberrysail.errors import UpstreamError
 from cranberrysail.router.bodyframing import BodyFraming
 
 __all__ = ["EventSplitter", "is_event_stream"]
 
 CONTENT_TYPE = b"text/event-stream"
-
+# An event is buffered until it is complete.
+MAX_EVENT_BYTES = 1024 * 1024
 # Two line ends in a row, of which CR LF is one.
 BLANK_LINE = re.compile(rb"\n\n|[\r\n]\r\n?")
 COMMENT = b":"
@@ -49,13 +51,23 @@
         self.event_count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add received data and return the events that it completes."""
+        """Add received data and return the events that it completes.
+
+        Raises:
+          UpstreamError: If an event exceeds the size limit.
+        """
         data = self.tail + data
         end = 0
         for blank_line in BLANK_LINE.finditer(data):
             self._end_event(data[end : blank_line.end()])
             end = blank_line.end()
         self.tail = data[end:]
+        if len(self.tail) > MAX_EVENT_BYTES:
+            raise UpstreamError(
+                f"an event exceeds the limit of {MAX_EVENT_BYTES} bytes",
+                sent=True,
+                started=True,
+            )
         return data[:end]
 
     def _end_event(self, event: bytes) -> None:
--- a/tests/router/test_sse.py
+++ b/tests/router/test_sse.py
@@ -6,6 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cranberrysail.errors import UpstreamError
+from cranberrysail.router import sse
 from cranberrysail.router.sse import EventSplitter
 
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
@@ -57,3 +59,11 @@
     splitter = EventSplitter()
     splitter.feed(b"id: 1\ndata: x\n\n" + tail)
     assert splitter.in_event is in_event
+
+
+def test_event_above_the_size_limit_is_an_error(monkeypatch):
+    monkeypatch.setattr(sse, "MAX_EVENT_BYTES", 100)
+    splitter = EventSplitter()
+    splitter.feed(b"data: x\n\n" * 50 + b"data: " + b"x" * 90)
+    with pytest.raises(UpstreamError):
+        splitter.feed(b"x" * 10)
