--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -220,8 +220,7 @@
         if conn.status < 300 and not response.from_endpoint:
             conn.reusable = False
             return Attempt(AttemptResult.UNKNOWN, "response has no valid seal")
-        is_stream = call.route.kind is CallKind.STREAM or is_event_stream(conn.headers)
-        if is_stream and conn.status < 300:
+        if _is_stream(call, conn):
             return await self._forward_stream(call, endpoint, conn, pending_id, sent_s)
         return await self._forward_response(call, endpoint, conn, pending_id, sent_s)
 
@@ -360,15 +359,20 @@
             await call.caller_conn.write(events)
 
 
+def _is_stream(call: Call, conn: HttpClientConn) -> bool:
+    is_stream = call.route.kind is CallKind.STREAM or is_event_stream(conn.headers)
+    return is_stream and conn.status < 300
+
+
 def _received_response(call: Call, conn: HttpClientConn) -> ReceivedResponse | None:
     if not conn.status:
         return None
-    return ReceivedResponse(
-        conn.status,
-        conn.framing,
-        conn.body_bytes,
-        call.event_splitter.event_count,
-        len(call.event_splitter.tail),
+    received = ReceivedResponse(conn.status, conn.framing, conn.body_bytes)
+    if not _is_stream(call, conn):
+        return received
+    events = call.event_splitter
+    return replace(
+        received, whole_events=events.event_count, partial_bytes=len(events.tail)
     )
 
 
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -21,7 +21,7 @@
     HttpServerConn,
 )
 from cranberrysail.router.metrics import RouterMetrics
-from cranberrysail.router.model import CallKind, Customer, Route, RouteTables
+from cranberrysail.router.model import Customer, Route, RouteTables
 from cranberrysail.router.outcome import Attempt, AttemptResult, NextStep, next_step
 from cranberrysail.router.retrybudget import RetryBudget
 from cranberrysail.router.selector import Choice, Selector
@@ -266,7 +266,7 @@
             ms=round(elapsed_s * 1000),
             first_ms=round(call.latency_s * 1000),
             late=call.latency_s > call.route.target_latency_s,
-            **_response_fields(call, attempt),
+            **_response_fields(attempt),
         )
 
     def _on_not_delivered(
@@ -306,7 +306,7 @@
             # Whether the retry budget allowed a retry; also true if none was due.
             repeat_budget=within_budget,
             next=step,
-            **_response_fields(call, attempt),
+            **_response_fields(attempt),
         )
         if step is NextStep.SEND_AGAIN:
             call.event_splitter.discard_tail()
@@ -365,7 +365,7 @@
         self._selector.loads.retain(incarnations)
 
 
-def _response_fields(call: Call, attempt: Attempt) -> dict[str, object]:
+def _response_fields(attempt: Attempt) -> dict[str, object]:
     """Return the log fields that tell how far an endpoint's response came."""
     received = attempt.received
     if received is None:
@@ -375,7 +375,7 @@
         "framing": received.framing,
         "body_bytes": received.body_bytes,
     }
-    if call.route.kind is CallKind.STREAM:
+    if received.whole_events is not None:
         fields["whole_events"] = received.whole_events
         fields["partial_bytes"] = received.partial_bytes
     return fields
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -143,12 +143,12 @@
     events = ""
     if "whole_events" in line:
         events = (
-            f", {line['whole_events']} whole events, {line.get('partial_bytes')} bytes "
-            "after the last one"
+            f", whole events: {line['whole_events']}, then {line.get('partial_bytes')} "
+            "bytes"
         )
     return (
-        f"; status {line.get('status')}, body delimited by {line['framing']}, "
-        f"{line.get('body_bytes')} bytes received{events}"
+        f"; status {line.get('status')}, framing {line['framing']}, "
+        f"{line.get('body_bytes')} bytes of the body{events}"
     )
 
 
--- a/cranberrysail/router/outcome.py
+++ b/cranberrysail/router/outcome.py
@@ -41,15 +41,16 @@
       status: HTTP status.
       framing: What delimits the body.
       body_bytes: Bytes of the body that were received.
-      whole_events: Complete events of the call's stream so far, over all attempts.
+      whole_events: Complete events of the call so far, over all attempts; None if the
+        response is no stream.
       partial_bytes: Bytes after the last complete event.
     """
 
     status: int
     framing: BodyFraming
     body_bytes: int
-    whole_events: int
-    partial_bytes: int
+    whole_events: int | None = None
+    partial_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
