--- a/tests/front/test_relay.py
+++ b/tests/front/test_relay.py
@@ -1,32 +1,52 @@
 """Relays of endpoints' streams to callers, in virtual time."""
 
+import asyncio
+
 import pytest
 
 from cranberrysail.endpoints.upstream import UpstreamRequest, open_call
 from cranberrysail.errors import UpstreamError
 from cranberrysail.front.relay import DONE_EVENT, ERROR_EVENT, EventRelay, PlainRelay
-from tests.router.scriptedserver import Script, ScriptedServer
+from tests.router.scriptedserver import ADDRESS, Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
 IDLE_S = 5.0
 EVENT = b"id: 1\ndata: part 1\n\n"
+EVENT_STREAM = b"content-type: text/event-stream\r\n"
 
 
-def relay_body(body, make_relay, framing=b""):
-    """Relay one response; return what is relayed, and whether it counts as complete."""
+def run_call(response, use, end="close"):
+    """Call an endpoint that sends a response, and use the call once it has begun."""
 
     async def main(loop):
-        response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body
-        script = Script([response], "close")
+        script = Script([response], end)
         loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script])
-        call = await open_call("10.0.1.1:80", 1.0)
-        call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
+        call = await open_call(ADDRESS, 1.0)
+        call.write(UpstreamRequest("POST", "/", ()), ADDRESS)
         await call.wait_for_response()
+        return await use(call)
+
+    return run_virtual(main)
+
+
+def response(body, headers=b""):
+    return b"HTTP/1.1 200 OK\r\n" + headers + b"\r\n" + body
+
+
+def relay_body(body, make_relay, headers=b""):
+    """Relay one response; return what is relayed, and whether it counts as complete."""
+
+    async def use(call):
         finished = []
         relay = make_relay(call, IDLE_S, finished.append)
         return b"".join([part async for part in relay]), finished
 
-    return run_virtual(main)
+    return run_call(response(body, headers), use)
+
+
+def read_whole(body, headers):
+    """Read a response that is recorded before it is sent to its caller."""
+    return run_call(response(body, headers), lambda call: call.read_all(1024))
 
 
 def event_relay(call, idle_s, finish):
@@ -53,36 +73,13 @@
 
 
 def test_relay_that_is_finished_early_does_not_end_as_complete():
-    async def main(loop):
-        response = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
-        loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([Script([response])])
-        call = await open_call("10.0.1.1:80", 1.0)
-        call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
-        await call.wait_for_response()
+    async def use(call):
         relay = PlainRelay(call, IDLE_S, lambda complete: None)
-        loop.call_later(0.5, relay.finish, False)
+        asyncio.get_running_loop().call_later(0.5, relay.finish, False)
         return [part async for part in relay]
 
     with pytest.raises(UpstreamError):
-        run_virtual(main)
-
-
-EVENT_STREAM = b"content-type: text/event-stream\r\n"
-
-
-def read_whole(body, framing=b""):
-    """Read a response that is recorded before it is sent to its caller."""
-
-    async def main(loop):
-        response = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + body
-        script = Script([response], "close")
-        loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script])
-        call = await open_call("10.0.1.1:80", 1.0)
-        call.write(UpstreamRequest("POST", "/", ()), "10.0.1.1:80")
-        await call.wait_for_response()
-        return await call.read_all(1024)
-
-    return run_virtual(main)
+        run_call(response(b"half", b"content-length: 9\r\n"), use, end="")
 
 
 @pytest.mark.parametrize("body", [EVENT + b"id: 2\nda", b""])
--- a/tests/router/test_httplistener.py
+++ b/tests/router/test_httplistener.py
@@ -101,9 +101,6 @@
 
 LISTENER_SCRIPT = """
 import asyncio
-import socket
-import subprocess
-import sys
 from cranberrysail.router.httplistener import HttpListener
 
 async def serve(request, conn):
