--- a/tests/router/randomscenario.py
+++ b/tests/router/randomscenario.py
@@ -112,9 +112,27 @@
         elif received.path.startswith(("/chat/", "/resumable/")):
             await self.stream(conn, received, attempt, draw)
         else:
-            conn.reply(200, SEAL, f"<{attempt}>".encode(), attempt)
+            await self.reply_plain(conn, attempt, draw)
+
+    async def reply_plain(self, conn, attempt: str, draw: float) -> None:
+        """Send a response with a length, or one that ends with its connection.
+
+        Some of the former are sent twice, and some of the latter are reset midway.
+        """
+        body = f"<{attempt}>".encode()
+        if draw >= 0.20:
+            conn.reply(200, SEAL, body, attempt)
             if draw > 0.98:
                 conn.reply(200, SEAL, b"once more", attempt)
+            return
+        head = f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}\r\n"
+        resets = draw < 0.16
+        conn.transport.write(head.encode() + (body[:-1] if resets else body))
+        await asyncio.sleep(0.01)
+        if resets:
+            conn.transport.reset()
+        else:
+            conn.transport.close()
 
     async def stream(self, conn, received, attempt: str, draw: float) -> None:
         """Send the events, five in all, that the caller lacks, or stop midway.
--- a/tests/router/test_random_scenario.py
+++ b/tests/router/test_random_scenario.py
@@ -9,6 +9,7 @@
 from cranberrysail.router.coldlimit import ColdLimiter
 from cranberrysail.router.follower import RoutingState
 from cranberrysail.router.headercodec import ResponseHead
+from cranberrysail.router.httpclient import HttpClientConn
 from cranberrysail.router.outcome import NextStep
 from cranberrysail.router.sse import EventSplitter
 from tests.router.randomscenario import RandomScenario
@@ -63,6 +64,16 @@
     assert has_violation("got b")
 
 
+def test_check_detects_response_whose_reset_is_taken_for_its_end(monkeypatch):
+    def end_response(self, exc):
+        self.eof_received()
+        original(self, exc)
+
+    original = HttpClientConn.connection_lost
+    monkeypatch.setattr(HttpClientConn, "connection_lost", end_response)
+    assert has_violation("got b")
+
+
 def test_check_detects_excess_calls_to_cold_endpoint(monkeypatch):
     monkeypatch.setattr(ColdLimiter, "allows", lambda *args: True)
     monkeypatch.setattr("tests.router.randomscenario.CALLS_PER_S", 400.0)
