Answer the requests before an invalid one, then the invalid one, then close

An invalid request that arrived while others of its connection were in progress stopped the connection for good: those behind the one being handled got no response, the invalid one got none, and the connection stayed open, also where only its end delimits a response, so a whole one never ended. A property test of pipelined requests found it; it compares what callers get with what handlers sent, for both versions, HEAD, and handlers that leave their response.

Before: test_responses_on_one_connection_are_whole_or_visibly_cut and test_invalid_request_behind_others_is_answered_after_them fail.

--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -216,6 +216,7 @@
         self._writable: asyncio.Event = asyncio.Event()
         self._writable.set()
         self._closing = False
+        self._rejection: tuple[int, str] | None = None
         self._response = _ResponseState.NONE
         self._timeout_start_s = now()
         self._supports_chunked = True
@@ -227,6 +228,10 @@
         """Return whether a request is in progress, queued or being received."""
         return bool(self._handler_task or self._queue or self._request)
 
+    @property
+    def _ignores_requests(self) -> bool:
+        return self._closing or self._rejection is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its write buffer limit."""
         self._transport = transport
@@ -255,7 +260,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse request bytes; reject a malformed or overlong request."""
-        if self._closing:
+        if self._ignores_requests:
             return
         if self._reading_head:
             self._head_bytes_read += len(data)
@@ -310,7 +315,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; reject one that is too large."""
-        if self._closing:
+        if self._ignores_requests:
             return
         self._body_chunks.append(body)
         self._body_bytes += len(body)
@@ -319,7 +324,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request; it is handled after those before it."""
-        if self._closing:
+        if self._ignores_requests:
             return
         request, self._request = self._request, None
         self._reading_head = True
@@ -362,25 +367,27 @@
             self.close()
             return
         self._start_next()
-        if self._listener.closing_idle and not self.busy:
+        if self._rejection is not None and self._handler_task is None:
+            self._send_rejection()
+        elif self._listener.closing_idle and not self.busy:
             self.close()
 
     def _reject(self, status: int, error_code: str) -> None:
-        """Respond to an invalid request with an error, or stop reading.
-
-        If earlier requests are in progress or queued, no error is sent: only the
-        request being handled still gets its response.
-        """
-        if self._handler_task is None and not self._queue:
-            headers, body = self._listener.error_response(status, error_code)
-            self._bodiless = False
-            self._response = _ResponseState.NONE
-            self.close_after_response = True
-            self.send_response(status, headers, body)
-            self._close_after_linger()
+        """Respond to an invalid request with an error, after those before it."""
+        if self._ignores_requests:
             return
-        self._closing = True
-        self._request = None
+        self._rejection = (status, error_code)
+        if self._handler_task is None:
+            self._send_rejection()
+
+    def _send_rejection(self) -> None:
+        status, error_code = self._rejection
+        headers, body = self._listener.error_response(status, error_code)
+        self._bodiless = False
+        self._response = _ResponseState.NONE
+        self.close_after_response = True
+        self.send_response(status, headers, body)
+        self._close_after_linger()
 
     def _close_after_linger(self) -> None:
         """Close the sending side, and the connection after a delay.
--- a/tests/router/test_httplistener.py
+++ b/tests/router/test_httplistener.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import subprocess
 import sys
+from dataclasses import dataclass
+from itertools import pairwise
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cranberrysail.router.httplistener import HttpListener
+from tests.router.simulatedfleet import Caller
+from tests.router.virtualloop import run_virtual
 
 HTTP_1_0 = b"GET / HTTP/1.0\r\nhost: h\r\n\r\n"
 HTTP_1_1 = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -155,3 +162,121 @@
     first, _, second = received.partition(LAST_CHUNK)
     assert first.endswith(b"4\r\nhalf\r\n4\r\nhalf\r\n")
     assert second.endswith(b"\r\n\r\nhalfhalf")
+
+
+@dataclass(frozen=True)
+class Exchange:
+    """A request, and what its handler does.
+
+    Attributes:
+      handler: ``send``, ``stream``, or how it leaves a response that it has begun.
+    """
+
+    method: str
+    version: str
+    handler: str
+
+    @property
+    def is_whole(self) -> bool:
+        return self.handler in ("send", "stream")
+
+    @property
+    def closes(self) -> bool:
+        """Return whether the connection ends with the response."""
+        return self.version == "1.0" or not self.is_whole
+
+
+EXCHANGES = st.lists(
+    st.builds(
+        Exchange,
+        st.sampled_from(["GET", "HEAD"]),
+        st.sampled_from(["1.1", "1.1", "1.1", "1.0"]),
+        st.sampled_from(
+            ["send", "send", "stream", "stream", "abort", "fail", "return"]
+        ),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+async def handle_as_asked(request, conn):
+    """Respond with the path of the request, whole or in two parts, or leave it."""
+    handler, body = request.path[1:].partition("/")[0], request.path.encode()
+    await asyncio.sleep(0.01)
+    if handler == "send":
+        conn.send_response(200, [], body)
+        return
+    conn.start_response(200, [])
+    await conn.write(body)
+    await asyncio.sleep(0.01)
+    if handler == "abort":
+        conn.abort()
+    elif handler == "fail":
+        raise RuntimeError("a fault of the handler")
+    elif handler == "stream":
+        await conn.write(body)
+        conn.end_response()
+
+
+def read_response(data, method, was_reset):
+    """Return the body of the first response, or None if it is cut, and what follows."""
+    head, end, rest = data.partition(b"\r\n\r\n")
+    if not end:
+        return None, b""
+    if method == "HEAD":
+        return b"", rest
+    length = re.search(rb"content-length: (\d+)", head)
+    if length:
+        size = int(length[1])
+        return (rest[:size], rest[size:]) if len(rest) >= size else (None, b"")
+    if b"transfer-encoding: chunked" not in head:
+        return None if was_reset else rest, b""
+    body = b""
+    while rest:
+        line, _, rest = rest.partition(b"\r\n")
+        size = int(line, 16)
+        body, rest = body + rest[:size], rest[size + 2 :]
+        if not size:
+            return body, rest
+    return None, b""
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=200)
+@given(exchanges=EXCHANGES, cuts=st.lists(st.integers(0, 400), max_size=4))
+def test_responses_on_one_connection_are_whole_or_visibly_cut(exchanges, cuts):
+    data = b"".join(
+        f"{e.method} /{e.handler}/{n} HTTP/{e.version}\r\nhost: h\r\n\r\n".encode()
+        for n, e in enumerate(exchanges)
+    )
+    bounds = sorted({0, len(data), *(cut % len(data) for cut in cuts)})
+
+    async def main(loop):
+        listener = HttpListener(handle_as_asked, lambda s, c: ([], b""), lambda e: None)
+        await listener.start("10.0.0.1", 80)
+        _, caller = await loop.create_connection(Caller, "10.0.0.1", 80)
+        for start, end in pairwise(bounds):
+            caller.transport.write(data[start:end])
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(1.0)
+        return caller
+
+    caller = run_virtual(main)
+    rest = caller.data
+    for number, sent in enumerate(exchanges):
+        body, rest = read_response(rest, sent.method, caller.was_reset)
+        path = f"/{sent.handler}/{number}".encode()
+        if not sent.is_whole and sent.method != "HEAD":
+            assert body is None
+        elif sent.method != "HEAD":
+            assert body == (path if sent.handler == "send" else path * 2)
+        if sent.closes:
+            break
+    assert rest == b""
+    assert caller.closed == sent.closes
+
+
+def test_invalid_request_behind_others_is_answered_after_them():
+    received, _, errors = exchange(send_whole, HTTP_1_1 * 2 + b"nonsense\r\n\r\n")
+    assert re.findall(rb"HTTP/1.1 (\d+)", received) == [b"200", b"200", b"400"]
+    assert errors == []
