--- a/tests/router/test_interrupted_responses.py
+++ b/tests/router/test_interrupted_responses.py
@@ -1,12 +1,12 @@
 """Responses that endpoints break off: whatever reaches a caller never looks whole."""
 
 import asyncio
-from dataclasses import dataclass
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tests.router.interrupted import CHUNKED, body_of, broken_responses, chunk
 from tests.router.simulatedfleet import (
     SEAL,
     SimulatedFleet,
@@ -16,7 +16,6 @@
 )
 from tests.router.virtualloop import run_virtual
 
-CHUNKED = "Transfer-Encoding: chunked\r\n"
 # Bodies are sent in pieces of this size, as they arrive over a network.
 PIECE_BYTES = 64 * 1024
 FIRST_EVENT = b"id: 1\ndata: part 1\n\n"
@@ -45,10 +44,6 @@
     return answer
 
 
-def chunk(data):
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 def send_to(answers, data):
     """Send one request to a router whose workers answer in turn as given.
 
@@ -207,89 +202,34 @@
     assert caller.was_reset
 
 
-@dataclass(frozen=True)
-class Broken:
-    """How an endpoint's response ends before it should.
-
-    Attributes:
-      framing: Header line by which the body is delimited, empty for none.
-      missing: Bytes of the encoded body that are not sent; 0 for a whole response.
-      reset: True if the connection ends with a reset.
-      line_end: Line end of events.
-    """
-
-    framing: str
-    missing: int
-    reset: bool
-    line_end: bytes
-
-    @property
-    def looks_whole(self) -> bool:
-        """Return whether nothing of the transport shows that the body is cut."""
-        return not self.framing and not self.reset
-
-
-BROKEN = st.builds(
-    Broken,
-    st.sampled_from(["", CHUNKED, "Content-Length: {}\r\n"]),
-    st.integers(0, 70),
-    st.booleans(),
-    st.sampled_from([b"\n", b"\r\n"]),
-)
-
-
-def break_off(broken, sent_bodies):
-    """Return a behaviour of a worker that sends three events, or the rest of them."""
-
-    async def answer(conn, received):
-        first = int(received.headers.get("last-event-id", 0)) + 1
-        events = b"".join(
-            b"id: %d\ndata: part %d\n\n" % (n, n) for n in range(first, 4)
-        ).replace(b"\n", broken.line_end)
-        body = chunk(events) + b"0\r\n\r\n" if broken.framing == CHUNKED else events
-        sent = body[: max(0, len(body) - broken.missing)]
-        sent_bodies.append(sent)
-        attempt = received.headers["cranberrysail-attempt-id"]
-        head = f"HTTP/1.1 200 X\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
-        head += broken.framing.format(len(body)) + "\r\n"
-        conn.transport.write(head.encode() + sent)
-        await asyncio.sleep(0.05)
-        if broken.reset:
-            conn.transport.reset()
-        else:
-            conn.transport.close()
-
-    return answer
-
-
-def body_of(caller):
-    """Return the body that a caller received, without chunk framing."""
-    head, _, body = caller.data.partition(b"\r\n\r\n")
-    if b"transfer-encoding: chunked" not in head:
-        return body
-    parts = []
-    while body and not body.startswith(b"0\r\n"):
-        size, _, body = body.partition(b"\r\n")
-        parts.append(body[: int(size, 16)])
-        body = body[int(size, 16) + 2 :]
-    return b"".join(parts)
-
-
 @settings(derandomize=True, database=None, deadline=None, max_examples=150)
 @given(
     path=st.sampled_from(["/chat/1", "/resumable/1", "/book/1", "/look/1"]),
-    attempts=st.tuples(BROKEN, BROKEN),
+    attempts=st.tuples(broken_responses(), broken_responses()),
+    line_end=st.sampled_from([b"\n", b"\r\n"]),
     http_1_0=st.booleans(),
 )
 def test_responses_cut_anywhere_are_whole_or_visibly_broken_off(
-    path, attempts, http_1_0
+    path, attempts, line_end, http_1_0
 ):
     sent_bodies = []
-    answers = [break_off(broken, sent_bodies) for broken in attempts]
+
+    def break_off(broken):
+        async def answer(conn, received):
+            first = int(received.headers.get("last-event-id", 0)) + 1
+            events = [b"id: %d\ndata: part %d\n\n" % (n, n) for n in range(first, 4)]
+            body = b"".join(events).replace(b"\n", line_end)
+            attempt = received.headers["cranberrysail-attempt-id"]
+            head = f"HTTP/1.1 200 X\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+            sent_bodies.append(broken.part_of(body))
+            await broken.send(conn, head, body)
+
+        return answer
+
     data = make_request(path)
     if http_1_0:
         data = data.replace(b"HTTP/1.1", b"HTTP/1.0", 1)
-    caller, sent = send_to(answers, data)
+    caller, sent = send_to([break_off(broken) for broken in attempts], data)
     last = attempts[sent - 1]
     if caller.status != 200 or not caller.is_complete:
         assert last.missing or last.reset
