--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -203,5 +203,23 @@
 def _tables_applied(line: LogLine) -> str:
     return (
         f"tables version {line.get('version')} applied, previous version: "
-        f"{line.get('before')}"
+        f"{line.get('before')}{_origin(line)}"
+    )
+
+
+@LINE_FORMATTERS.register("tables_ignored")
+def _tables_ignored(line: LogLine) -> str:
+    return (
+        f"tables version {line.get('version')} ignored, as version "
+        f"{line.get('in_force')} is in force{_origin(line)}"
+    )
+
+
+def _origin(line: LogLine) -> str:
+    """Describe where records were read, and how old they may have been."""
+    if "source" not in line:
+        return ""
+    return (
+        f"; read from {line['source']}, which had read the store "
+        f"{line.get('age_s')} s earlier, up to offset {line.get('next_offset')}"
     )
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -142,7 +142,7 @@
         newest = dict(page.records)
         for key, value in newest.items():
             if self.decoder.is_tables_key(key) and value is not None:
-                self._apply_tables(value)
+                self._apply_tables(value, page)
         zones = {
             zone: value is not None
             for key, value in newest.items()
@@ -154,7 +154,7 @@
         for zone, out in zones.items():
             self._set_zone_out(zone, out)
 
-    def _apply_tables(self, value: bytes) -> None:
+    def _apply_tables(self, value: bytes, page: Page) -> None:
         try:
             tables = self.decoder.decode_tables(value)
         except InvalidRecordError as exc:
@@ -162,6 +162,13 @@
             return
         previous = self.tables.version if self.tables else None
         if previous is not None and tables.version <= previous:
+            if tables.version < previous:
+                self.log.write(
+                    "tables_ignored",
+                    version=tables.version,
+                    in_force=previous,
+                    **_origin_fields(page),
+                )
             return
         self.tables = tables
         self.log.write(
@@ -169,6 +176,7 @@
             version=tables.version,
             before=previous,
             routes=len(tables.routes),
+            **_origin_fields(page),
         )
         self.on_tables_changed()
 
@@ -198,6 +206,15 @@
             self.endpoints.retain(endpoint_ids, time_s)
 
 
+def _origin_fields(page: Page) -> dict[str, object]:
+    """Return the log fields that tell where a page was read and how old it may be."""
+    return {
+        "source": page.source or "store",
+        "age_s": round(page.age_s, 2),
+        "next_offset": page.next_offset,
+    }
+
+
 def _ignore_change(follower: "TopicFollower") -> None:
     """Do nothing; the default callback."""
 
@@ -284,6 +301,13 @@
             self._cache.reset(self._topic, page)
         else:
             self._cache.extend(self._topic, self._offset, page)
+        if page.next_offset < self._applied_offset:
+            self._state.log.write(
+                "offset_went_back",
+                topic=self._topic.value,
+                before=self._applied_offset,
+                **_origin_fields(page),
+            )
         self._state.apply(self._topic, page)
         self._offset = self._applied_offset = page.next_offset
         self.last_read_s = now()
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -238,7 +238,7 @@
             raise StoreError(f"the peer's response cannot be decoded ({exc})") from exc
         if response.age_s >= MAX_SINCE_STORE_READ_S:
             raise StalePeerError(f"the peer read the store {response.age_s:.1f} s ago")
-        return Page(records, response.end, response.whole)
+        return Page(records, response.end, response.whole, age_s=response.age_s)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Raise an error, as only the store accepts records.
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -1,7 +1,7 @@
 """Reads the store's records from peers, the store or, if it fails, other peers."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.decisionlog import DecisionLog
@@ -162,7 +162,7 @@
             backoff.delay_s = min(backoff.delay_s * 2, MAX_BACKOFF_S)
             return None
         backoff.delay_s = INITIAL_BACKOFF_S
-        return page
+        return replace(page, source=peer.name)
 
     @property
     def since_store_read_s(self) -> float:
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -1,7 +1,7 @@
 """Interface of the metadata store that operators, endpoints and routers write to."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from cranberrysail.errors import CranberryError
@@ -50,11 +50,15 @@
       records: Pairs of key and value; the value is None if the key was removed.
       next_offset: Offset at which the next read begins.
       is_snapshot: True for a snapshot, that is, the newest record of every key.
+      source: Name of the peer that they were read from; empty for the store.
+      age_s: Time since that peer last read the topic from the store.
     """
 
     records: tuple[tuple[str, bytes | None], ...]
     next_offset: int
     is_snapshot: bool = False
+    source: str = field(default="", compare=False)
+    age_s: float = field(default=0.0, compare=False)
 
 
 class BaseStore(ABC):
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -186,3 +186,16 @@
         return caller.status, world.router.ready
 
     assert run_with_router(main) == (200, True)
+
+
+def test_log_tells_where_tables_were_read_and_which_were_ignored():
+    async def main(world):
+        world.write_config(make_config(9))
+        await asyncio.sleep(0.5)
+        world.write_config(make_config(4))
+        await asyncio.sleep(0.5)
+        return dict(world.log_lines)
+
+    lines = run_with_router(main)
+    assert lines["tables_applied"].items() >= {"version": 9, "source": "store"}.items()
+    assert lines["tables_ignored"].items() >= {"version": 4, "in_force": 9}.items()
--- a/tests/router/test_random_scenario.py
+++ b/tests/router/test_random_scenario.py
@@ -85,10 +85,10 @@
     original = RoutingState._apply_tables
     applied = []
 
-    def apply_first_only(self, value):
+    def apply_first_only(self, *args):
         if self not in applied:
             applied.append(self)
-            original(self, value)
+            original(self, *args)
 
     monkeypatch.setattr(RoutingState, "_apply_tables", apply_first_only)
     assert has_violation("is due")
