--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -26,6 +26,7 @@
         default_factory=lambda: defaultdict(list)
     )
     first_offset: dict[Topic, int] = field(default_factory=lambda: defaultdict(int))
+    era: int = 1
     appended: asyncio.Event = field(default_factory=asyncio.Event)
     request_counts: Counter = field(default_factory=Counter)
 
@@ -38,6 +39,7 @@
       silent: True while requests fail only after a timeout.
       misses_wakeups: True while reads return only after their whole wait, even if
         there are records.
+      silent_topic: Topic of which reads fail only after a timeout, or None.
     """
 
     def __init__(self, shared: _SharedState | None = None, client: str = "") -> None:
@@ -55,6 +57,7 @@
         self.down = False
         self.silent = False
         self.misses_wakeups = False
+        self.silent_topic: Topic | None = None
 
     def view_for(self, client: str) -> "MemoryStore":
         """Return the view of a client; faults set here apply to it too."""
@@ -76,6 +79,9 @@
     def append(self, topic: Topic, key: str, value: bytes | None) -> None:
         """Append a record at once, without faults, as an operator or endpoint would."""
         self._shared.records[topic].append((key, value))
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
         self._shared.appended.set()
         self._shared.appended = asyncio.Event()
 
@@ -83,9 +89,24 @@
         """Make all offsets before the end unreadable, as a compaction would."""
         self._shared.first_offset[topic] = len(self._shared.records[topic])
 
-    async def _raise_if_failing(self, wait_s: float = 0.0) -> None:
+    def copy(self) -> dict[Topic, int]:
+        """Return a copy of the store, as the number of records of each topic."""
+        return {topic: len(records) for topic, records in self._shared.records.items()}
+
+    def restore(self, copy: dict[Topic, int]) -> None:
+        """Drop what was written since a copy was made; offsets are given out again."""
+        for topic, records in self._shared.records.items():
+            del records[copy.get(topic, 0) :]
+            first = self._shared.first_offset[topic]
+            self._shared.first_offset[topic] = min(first, len(records))
+        self._shared.era += 1
+        self._wake_readers()
+
+    async def _raise_if_failing(
+        self, topic: Topic | None = None, wait_s: float = 0.0
+    ) -> None:
         self._shared.request_counts[self._client] += 1
-        if self._has_fault("silent"):
+        if self._has_fault("silent") or (topic and self.silent_topic is topic):
             await asyncio.sleep(REQUEST_TIMEOUT_S + wait_s)
             raise StoreError("no response from the store")
         if self._has_fault("down"):
@@ -93,16 +114,18 @@
 
     async def read_snapshot(self, topic: Topic) -> Page:
         """Return the newest record of each key."""
-        await self._raise_if_failing()
+        await self._raise_if_failing(topic)
         newest = dict(self._shared.records[topic])
         records = tuple((k, v) for k, v in newest.items() if v is not None)
         return Page(records, len(self._shared.records[topic]), is_snapshot=True)
 
     async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
         """Return the records from an offset on."""
-        await self._raise_if_failing(wait_s)
-        if start < self._shared.first_offset[topic]:
-            raise OffsetOutOfRangeError("the requested records have been dropped")
+        await self._raise_if_failing(topic, wait_s)
+        era = self._shared.era
+        first, end = self._shared.first_offset[topic], len(self._shared.records[topic])
+        if not first <= start <= end:
+            raise OffsetOutOfRangeError(f"there is no offset {start}")
         try:
             async with asyncio.timeout(wait_s):
                 while (
@@ -112,9 +135,11 @@
                     await self._shared.appended.wait()
         except TimeoutError:
             pass
-        if self._has_fault("silent"):
+        if self._has_fault("silent") or self.silent_topic is topic:
             await asyncio.sleep(REQUEST_TIMEOUT_S)
             raise StoreError("no response from the store")
+        if self._shared.era != era:
+            raise StoreError("the connection was reset")
         records = tuple(self._shared.records[topic][start:])
         return Page(records, start + len(records))
 
