Bound the time that records may be old by topic, and by the clock of their reader

Callers: a request handled by tables that another version replaced more than two seconds before, while routers of the same zone freeze or cannot read one topic. Cause: two faults of one class, time limits that nobody adds up. A router waited for one peer after the other, 1.5 s each, before it read the store; and a peer said how long ago it had read anything from the store, so one whose reads of the tables hung passed for up to date.

A follower knows as of when its records are complete; peers are asked only as long as that is recent enough, and a response that is due later is not waited for. The age that a peer states is that of the topic. The wait of a read counts from the last one, so that a pause after a large page does not add to it. Reads of operators' records wait 1.2 s in place of 1.5 s.

--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -33,7 +33,7 @@
 # Maximum wait of a read for new records of operators. The store responds as soon as
 # there is a record, but at times does not wake a waiting read; tables must be in
 # force within two seconds.
-OPERATORS_WAIT_S = 1.5
+OPERATORS_WAIT_S = 1.2
 # Long, since the records of routers change rarely and are never urgent.
 ROUTERS_WAIT_S = 8.0
 # Short, since each response also shows this router's peers that its records are up to
@@ -303,6 +303,7 @@
         self._state = state
         self._offset: int | None = None
         self._applied_offset = 0
+        self._as_of_s = float("-inf")
         self._read_task: asyncio.Task | None = None
         self._interrupted = False
         self.failing = False
@@ -349,7 +350,9 @@
         if self._offset is None:
             page = await self._sources.read_snapshot(self._topic, self._applied_offset)
         else:
-            page = await self._sources.read(self._topic, self._offset, self._wait_s)
+            page = await self._sources.read(
+                self._topic, self._offset, self._wait_s, self._as_of_s
+            )
         if page.next_offset < self._applied_offset:
             self._state.log.write(
                 "offset_went_back",
@@ -364,6 +367,7 @@
             self._cache.extend(self._topic, self._offset, page, not_applied)
         self._offset = self._applied_offset = page.next_offset
         self.last_read_s = now()
+        self._as_of_s = max(self._as_of_s, now() - page.age_s)
         if sum(len(value or b"") for _, value in page.records) > LARGE_PAGE_BYTES:
             await asyncio.sleep(LARGE_PAGE_DELAY_S)
 
@@ -372,7 +376,7 @@
         """Return the maximum wait of a read; 0 while reads fail, to probe the store."""
         if self.failing:
             return 0.0
-        return READ_WAIT_S[self._topic]
+        return max(0.0, READ_WAIT_S[self._topic] - (now() - self.last_read_s))
 
     def _mark_failing(self, why: str) -> None:
         if self._topic is Topic.ENDPOINTS:
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -44,9 +44,14 @@
 MAX_WAIT_S = 1.0
 # Time for the response beyond the wait.
 RESPONSE_TIMEOUT_S = 0.5
-# Maximum time since the responding peer last read the store. The response of a peer
-# that read it longer ago is not used, as newer records may be missing.
-MAX_SINCE_STORE_READ_S = 1.7
+# Maximum time since the responding peer last read the topic from the store. The
+# response of a peer that read it longer ago is not used, as newer records may be
+# missing. It exceeds the longest wait of a peer that reads the store.
+MAX_RECORD_AGE_S = {
+    Topic.OPERATORS: 1.4,
+    Topic.ENDPOINTS: 1.4,
+    Topic.ROUTERS: 10.0,
+}
 # Compression does not pay for smaller pages.
 COMPRESSION_MIN_BYTES = 1024
 # First byte of zlib data; a msgpack-encoded list of records starts with another.
@@ -73,7 +78,7 @@
     Attributes:
       records: Encoded records, compressed if they are large enough.
       end: Offset at which the next read begins, as ``Page.next_offset``.
-      age_s: Time since the responding router last read the store.
+      age_s: Time since the responding router last read the topic from the store.
       whole: True for a snapshot, as ``Page.is_snapshot``.
     """
 
@@ -219,24 +224,36 @@
             raise StoreError("the peer has no snapshot; read the store")
         return page
 
-    async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
+    async def read(
+        self,
+        topic: Topic,
+        start: int,
+        wait_s: float,
+        timeout_s: float = MAX_WAIT_S + RESPONSE_TIMEOUT_S,
+    ) -> Page:
         """Return the newest record of each key from an offset on.
 
         Returns a snapshot if the peer has cached none that far back.
+
+        Args:
+          topic: The topic.
+          start: Offset from which to read.
+          wait_s: Maximum time to wait for a record.
+          timeout_s: Upper limit of the time until the response begins.
         """
         wait_s = min(wait_s, MAX_WAIT_S)
         target = (
             f"{RECORDS_PATH}?topic={topic.value}&from={start}"
             f"&wait_ms={wait_s * 1000:.0f}"
         )
-        timeout_s = wait_s + RESPONSE_TIMEOUT_S
+        timeout_s = min(timeout_s, wait_s + RESPONSE_TIMEOUT_S)
         body = await self._http.request(topic.value, "POST", target, b"", timeout_s)
         try:
             response = self._decoder.decode(body)
             records = _decode(response.records)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise StoreError(f"the peer's response cannot be decoded ({exc})") from exc
-        if response.age_s >= MAX_SINCE_STORE_READ_S:
+        if response.age_s >= MAX_RECORD_AGE_S[topic]:
             raise StalePeerError(f"the peer read the store {response.age_s:.1f} s ago")
         return Page(records, response.end, response.whole, age_s=response.age_s)
 
@@ -281,7 +298,7 @@
 
 def create_peer_server(
     cache: RecordCache,
-    since_store_read_s: Callable[[], float],
+    since_store_read_s: Callable[[Topic], float],
     load_gossip: LoadGossip,
     on_error: Callable[[BaseException], None],
 ) -> HttpListener:
@@ -289,7 +306,8 @@
 
     Args:
       cache: The records.
-      since_store_read_s: Returns the time since this router last read the store.
+      since_store_read_s: Returns the time since this router last read a topic from
+        the store.
       load_gossip: Loads to share, and where to merge those of peers.
       on_error: Called with an unexpected exception.
     """
@@ -307,7 +325,7 @@
             )
             return
         try:
-            fresh_for_s = max(0.0, MAX_SINCE_STORE_READ_S - since_store_read_s())
+            fresh_for_s = max(0.0, MAX_RECORD_AGE_S[topic] - since_store_read_s(topic))
             page = await cache.read(topic, start, min(wait_s, fresh_for_s))
         except OffsetOutOfRangeError:
             conn.send_response(410, BINARY_HEADERS, b"")
@@ -315,7 +333,7 @@
         response = _PeerResponse(
             encode_records(page.records),
             page.next_offset,
-            since_store_read_s(),
+            since_store_read_s(topic),
             page.is_snapshot,
         )
         conn.send_response(200, BINARY_HEADERS, msgspec.msgpack.encode(response))
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -197,7 +197,7 @@
             self.cfg.peers,
             create_peer_server(
                 follower.cache,
-                lambda: follower.sources.since_store_read_s,
+                follower.sources.since_store_read_s,
                 self.load_gossip,
                 self._on_unexpected_error,
             ),
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -5,7 +5,14 @@
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.decisionlog import DecisionLog
-from cranberrysail.router.peers import PeerStore, RegisteredRouter, RouterDirectory
+from cranberrysail.router.peers import (
+    MAX_RECORD_AGE_S,
+    MAX_WAIT_S,
+    RESPONSE_TIMEOUT_S,
+    PeerStore,
+    RegisteredRouter,
+    RouterDirectory,
+)
 from cranberrysail.router.store import (
     BaseStore,
     OffsetOutOfRangeError,
@@ -28,6 +35,9 @@
 # After a failed read of the store, the fallback peers are asked before it for this
 # long.
 STORE_RETRY_S = 1.5
+# Time beyond the maximum age of records for a peer's response to arrive, after which
+# the store is read.
+PEER_OVERTIME_S = 0.3
 # Minimum interval between reads of the store. Endpoints change in bursts, and one
 # read after a short pause reads several changes.
 STORE_READ_INTERVAL_S = {Topic.ENDPOINTS: 0.6}
@@ -49,13 +59,13 @@
       store: The store.
       routers: The registered routers, including this one.
       log: Log of failed reads.
-      store_last_read_s: Time at which the store last responded.
+      store_last_read_s: Time at which the store last responded, by topic.
     """
 
     store: BaseStore
     routers: RouterDirectory
     log: DecisionLog
-    store_last_read_s: float = float("-inf")
+    store_last_read_s: dict[Topic, float] = field(default_factory=dict)
     _store_retry_at_s: float = 0.0
     _store_read_started_s: dict[Topic, float] = field(default_factory=dict)
     _clients: dict[str, PeerStore] = field(default_factory=dict)
@@ -76,22 +86,44 @@
           StoreError: If no source returns a usable response.
         """
         for peer in self.routers.preferred_peers():
-            page = await self._read_peer(peer, topic, 0, 0.0)
+            page = await self._read_peer(peer, topic, 0, 0.0, RESPONSE_TIMEOUT_S)
             if page is not None and page.is_snapshot and page.next_offset >= min_offset:
                 return page
         page = await self.store.read_snapshot(topic)
-        self.store_last_read_s = now()
+        self.store_last_read_s[topic] = now()
         return page
 
-    async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
+    async def read(
+        self, topic: Topic, start: int, wait_s: float, as_of_s: float
+    ) -> Page:
         """Return the records from an offset on.
 
+        Peers are waited for only as long as the records of this router are not too
+        old, so that peers that do not respond, one after another, do not delay the
+        read of the store.
+
+        Args:
+          topic: The topic.
+          start: Offset from which to read.
+          wait_s: Maximum time to wait for a record.
+          as_of_s: Time at which the store had no records beyond the offset.
+
         Raises:
           OffsetOutOfRangeError: If the store has dropped them.
           StoreError: If no source returns a usable response.
         """
+        fresh_until_s = as_of_s + MAX_RECORD_AGE_S[topic]
         for peer in self.routers.preferred_peers():
-            page = await self._read_peer(peer, topic, start, wait_s)
+            fresh_for_s = fresh_until_s - now()
+            if fresh_for_s <= 0:
+                break
+            page = await self._read_peer(
+                peer,
+                topic,
+                start,
+                min(wait_s, fresh_for_s),
+                fresh_for_s + PEER_OVERTIME_S,
+            )
             if page is not None:
                 return page
         if now() < self._store_retry_at_s:
@@ -115,16 +147,17 @@
         try:
             page = await self.store.read(topic, start, wait_s)
         except OffsetOutOfRangeError:
-            self.store_last_read_s = now()
+            self.store_last_read_s[topic] = now()
             raise
-        self.store_last_read_s = now()
+        self.store_last_read_s[topic] = now()
         return page
 
     async def _read_fallback_peers(
         self, topic: Topic, start: int, wait_s: float
     ) -> Page | None:
         for peer in self.routers.fallback_peers():
-            page = await self._read_peer(peer, topic, start, wait_s)
+            timeout_s = min(wait_s, MAX_WAIT_S) + RESPONSE_TIMEOUT_S
+            page = await self._read_peer(peer, topic, start, wait_s, timeout_s)
             if page is not None:
                 return page
         return None
@@ -139,14 +172,19 @@
         self._store_read_started_s[topic] = now()
 
     async def _read_peer(
-        self, peer: RegisteredRouter, topic: Topic, start: int, wait_s: float
+        self,
+        peer: RegisteredRouter,
+        topic: Topic,
+        start: int,
+        wait_s: float,
+        timeout_s: float,
     ) -> Page | None:
         backoff = self._backoffs.setdefault(peer.address, _Backoff())
         if now() < backoff.until_s:
             return None
         client = self._clients.setdefault(peer.address, PeerStore(peer.address))
         try:
-            page = await client.read(topic, start, wait_s)
+            page = await client.read(topic, start, wait_s, timeout_s)
         except StalePeerError:
             backoff.until_s = now() + STALE_PEER_RETRY_S
             return None
@@ -164,10 +202,9 @@
         backoff.delay_s = INITIAL_BACKOFF_S
         return replace(page, source=peer.name)
 
-    @property
-    def since_store_read_s(self) -> float:
-        """Return the time since the store last responded."""
-        return now() - self.store_last_read_s
+    def since_store_read_s(self, topic: Topic) -> float:
+        """Return the time since a topic was last read from the store."""
+        return now() - self.store_last_read_s.get(topic, float("-inf"))
 
     def close(self) -> None:
         """Close all connections."""
