--- a/cranberrysail/benchmark/simulation.py
+++ b/cranberrysail/benchmark/simulation.py
@@ -213,7 +213,7 @@
             (f"r{n}", encode_router_record(ZONES[n % 3], f"r{n}", True))
             for n in range(self.config.routers)
         )
-        peers.apply(Page(entries, self.config.routers, is_snapshot=True))
+        peers.apply(Page(entries, self.config.routers, is_snapshot=True), 0.0)
         loads = LoadTracker()
         selector = Selector(cfg, directory, loads, peers, self.rng)
         load_gossip = LoadGossip(loads, directory)
--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -9,13 +9,14 @@
 from cranberrysail.router.httpstore import HttpStoreClient
 from cranberrysail.router.store import (
     BaseStore,
+    EraChangedError,
     OffsetOutOfRangeError,
     Page,
     StoreError,
     Topic,
 )
 
-__all__ = ["PlatformStore", "decode_records", "encode_record"]
+__all__ = ["PlatformStore", "decode_era", "decode_records", "encode_record"]
 
 # Names of the topics on the platform. Routers may write to the last one only.
 TOPIC_NAMES = {
@@ -32,6 +33,10 @@
 MAX_READ_KB = 1024
 # A page begins with the end offset and the first offset, eight bytes each.
 OFFSETS_BYTES = 16
+# Header of all responses. It rises by one each time the store is restored from a copy.
+ERA_HEADER = b"store-era"
+# Maximum number of digits of an era.
+MAX_ERA_DIGITS = 18
 
 
 class _Item(msgspec.Struct):
@@ -60,6 +65,14 @@
     return struct.pack(">I", len(content)) + content
 
 
+def decode_era(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the era that a response states, 0 if it states none."""
+    value = next((value for name, value in headers if name == ERA_HEADER), b"")
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return 0
+    return int(value)
+
+
 def decode_records(data: bytes) -> tuple[tuple[str, bytes | None], ...]:
     """Decode pairs of key and value; the value is None if the key was removed.
 
@@ -98,29 +111,38 @@
         Args:
           address: ``ip:port`` of the store.
         """
-        self._http = HttpStoreClient(address, CONNECT_TIMEOUT_S)
+        super().__init__()
+        self._http = HttpStoreClient(
+            address,
+            CONNECT_TIMEOUT_S,
+            lambda headers: self.era.observe(decode_era(headers)),
+        )
         self._page_decoder = msgspec.json.Decoder(_NewestPage)
 
     async def read_snapshot(self, topic: Topic) -> Page:
         """Return the newest record of each key that has not been removed."""
         records: list[tuple[str, bytes | None]] = []
         end: int | None = None
+        era: int | None = None
         after = ""
         while True:
             query = f"/v1/log-newest?topic={TOPIC_NAMES[topic]}&part=0"
             if after:
                 query += f"&after={quote(after, safe='')}"
-            page = self._decode_page(
-                await self._http.request(
-                    topic.value, "GET", query, b"", RESPONSE_TIMEOUT_S
-                )
+            response = await self._http.request(
+                topic.value, "GET", query, b"", RESPONSE_TIMEOUT_S
             )
+            page = self._decode_page(response.body)
+            page_era = decode_era(response.headers)
+            if era is not None and page_era != era:
+                raise EraChangedError("the store was restored during a snapshot")
+            era = page_era
             end = page.end if end is None else end
             for item in page.items:
                 records.append((item.key, _decode_value(item)))
                 after = item.key
             if not page.has_more or not page.items:
-                return Page(tuple(records), end, is_snapshot=True)
+                return Page(tuple(records), end, is_snapshot=True, era=era)
 
     def _decode_page(self, body: bytes) -> _NewestPage:
         try:
@@ -136,22 +158,23 @@
             f"/v1/log-read?topic={TOPIC_NAMES[topic]}&part=0&from={start}"
             f"&max_kb={MAX_READ_KB}&wait_ms={int(wait_s * 1000)}"
         )
-        body = await self._http.request(
+        response = await self._http.request(
             topic.value, "GET", query, b"", RESPONSE_TIMEOUT_S + wait_s
         )
+        body = response.body
         if len(body) < OFFSETS_BYTES:
             raise StoreError("the store's response is truncated; read again")
         end, first = struct.unpack_from(">QQ", body)
-        if first > start:
+        if not first <= start <= end:
             raise OffsetOutOfRangeError(
-                f"records before offset {first} have been dropped"
+                f"offset {start} is not between {first} and {end}; read a snapshot"
             )
         records = decode_records(body[OFFSETS_BYTES:])
         count = _count_records(body[OFFSETS_BYTES:])
         # A page may leave records for the next read, but not all of them.
         if end > start and not count:
             raise StoreError("the store's page is truncated: no records; read again")
-        return Page(records, start + count)
+        return Page(records, start + count, era=decode_era(response.headers))
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Write a record."""
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -358,9 +358,8 @@
 
         Closes expired connections and drops the state of removed endpoints.
         """
-        endpoints = self._state.endpoints
-        endpoints.remove_expired(now())
-        incarnations = {endpoint.incarnation for endpoint in endpoints}
+        self._state.remove_expired()
+        incarnations = {endpoint.incarnation for endpoint in self._state.endpoints}
         self.attempt_runner.connection_pool.sweep(incarnations)
         self._selector.loads.retain(incarnations)
 
--- a/cranberrysail/router/endpoints.py
+++ b/cranberrysail/router/endpoints.py
@@ -13,6 +13,9 @@
 # Endpoints whose records expired while the store was unavailable declare themselves
 # again within about 2 s after it recovers.
 REDECLARE_GRACE_S = 2.2
+# An endpoint whose record was removed is remembered for this time, in which older
+# records of it may be read again.
+REMOVED_MEMORY_S = 60.0
 # A store that failed within this time may have dropped the records of live endpoints.
 STORE_LOSS_WINDOW_S = 4.0
 # A restarted endpoint declares itself at once, and the declaration is read within
@@ -114,6 +117,23 @@
         ) or now < self.cold_until_s
 
 
+@dataclass(frozen=True, slots=True)
+class _RemovedEndpoint:
+    """An incarnation whose record was removed from the store.
+
+    Attributes:
+      sequence: Sequence number of its last declaration.
+      until_s: Time until which it is remembered.
+    """
+
+    started_ms: int
+    sequence: int
+    until_s: float
+
+    def is_older_than(self, record: EndpointRecord) -> bool:
+        return (self.started_ms, self.sequence) < (record.started_ms, record.sequence)
+
+
 def _ignore_change(change: EndpointChange, endpoint: Endpoint, why: str) -> None:
     """Ignore a change."""
 
@@ -132,6 +152,9 @@
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _store_failed_s: float = -math.inf
     _lapse_deadline_s: float = 0.0
+    _unconfirmed: set[str] = field(default_factory=set)
+    _confirmation_deadline_s: float = -math.inf
+    _removed: dict[str, _RemovedEndpoint] = field(default_factory=dict)
 
     def __iter__(self):
         return iter(self._endpoints.values())
@@ -149,8 +172,12 @@
         Returns:
           Whether it was applied.
         """
+        self._unconfirmed.discard(record.endpoint_id)
         known = self._endpoints.get(record.endpoint_id)
         if known is None:
+            removed = self._removed.get(record.endpoint_id)
+            if removed is not None and not removed.is_older_than(record):
+                return False
             self._add(record, now, EndpointChange.APPEARED)
             return True
         old = known.record
@@ -205,6 +232,10 @@
         if known is None:
             return
         if now - self._store_failed_s > STORE_LOSS_WINDOW_S or known.record.draining:
+            record = known.record
+            self._removed[endpoint_id] = _RemovedEndpoint(
+                record.started_ms, record.sequence, now + REMOVED_MEMORY_S
+            )
             self._remove(known, "record removed from the store")
             return
         if known.state is not EndpointState.LAPSED:
@@ -217,12 +248,31 @@
 
     def _remove(self, endpoint: Endpoint, why: str) -> None:
         del self._endpoints[endpoint.id]
+        self._unconfirmed.discard(endpoint.id)
         self.on_change(EndpointChange.REMOVED, endpoint, why)
 
-    def retain(self, endpoint_ids: Iterable[str], now: float) -> None:
-        """Handle the removal of all endpoints that a complete list does not name."""
+    def retain(
+        self, endpoint_ids: Iterable[str], now: float, restored: bool = False
+    ) -> None:
+        """Handle the removal of all endpoints that a complete list does not name.
+
+        A store that was restored from a copy may lack records that are written again.
+        Endpoints that it does not name are kept as they are until there was time for
+        that.
+
+        Args:
+          endpoint_ids: Ids that the list names.
+          now: Current time in seconds.
+          restored: True for the first list of a restored store.
+        """
+        if restored:
+            self._confirmation_deadline_s = now + REDECLARE_GRACE_S
         listed = set(endpoint_ids)
-        for endpoint_id in [i for i in self._endpoints if i not in listed]:
+        missing = [i for i in self._endpoints if i not in listed]
+        if now < self._confirmation_deadline_s:
+            self._unconfirmed.update(missing)
+            return
+        for endpoint_id in missing:
             self.remove(endpoint_id, now)
 
     def store_failed(self, now: float) -> None:
@@ -235,7 +285,15 @@
         self._lapse_deadline_s = now + REDECLARE_GRACE_S
 
     def remove_expired(self, now: float) -> None:
-        """Remove lapsed endpoints that did not declare themselves again in time."""
+        """Remove endpoints that did not declare themselves again in time."""
+        for endpoint_id in [i for i, r in self._removed.items() if now >= r.until_s]:
+            del self._removed[endpoint_id]
+        if now >= self._confirmation_deadline_s:
+            for endpoint_id in list(self._unconfirmed):
+                self._remove(
+                    self._endpoints[endpoint_id],
+                    "not declared again after the store was restored",
+                )
         if now < self._lapse_deadline_s:
             return
         lapsed = [e for e in self if e.state is EndpointState.LAPSED]
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -199,6 +199,17 @@
     return f"can read {line.get('topic')} again"
 
 
+@LINE_FORMATTERS.register("store_restored")
+def _store_restored(line: LogLine) -> str:
+    zones = ", ".join(line.get("zones_out") or []) or "none"
+    return (
+        f"the store was restored from a copy (era {line.get('era')} after "
+        f"{line.get('before')}); kept until it is written again: tables version "
+        f"{line.get('tables')}, {line.get('endpoints')} endpoints, "
+        f"{line.get('routers')} routers, zones out of service: {zones}"
+    )
+
+
 @LINE_FORMATTERS.register("tables_applied")
 def _tables_applied(line: LogLine) -> str:
     return (
@@ -221,5 +232,6 @@
         return ""
     return (
         f"; read from {line['source']}, which had read the store "
-        f"{line.get('age_s')} s earlier, up to offset {line.get('next_offset')}"
+        f"{line.get('age_s')} s earlier, up to offset {line.get('next_offset')} of its "
+        f"era {line.get('era')}"
     )
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -16,8 +16,10 @@
 from cranberrysail.router.recordsources import RecordSources
 from cranberrysail.router.store import (
     BaseStore,
+    EraChangedError,
     OffsetOutOfRangeError,
     Page,
+    Position,
     StoreError,
     Topic,
 )
@@ -53,8 +55,13 @@
 # Interval at which this router, before it registers, checks whether the records of
 # routers have been read.
 REGISTRATION_POLL_S = 0.25
-# Additional pause after a failed registration.
+# Additional pause after a registration, until its record has been read, or its failure.
 REGISTRATION_RETRY_S = 1.0
+# The routers that a restored store no longer lists register again at random times
+# within this period, so that the store is not overloaded.
+REGISTRATION_SPREAD_S = 2.0
+# Operators' records that a restored store lacks are written again within this time.
+OPERATORS_REWRITE_S = 4.0
 
 
 class InvalidRecordError(ValueError):
@@ -108,7 +115,7 @@
       decoder: Decodes the platform's records.
       on_tables_changed: Called after newer tables were applied.
       tables: Tables of the highest version read, None if there are none yet.
-      loaded_topics: Topics of which a snapshot has been applied.
+      eras: Era of the store of the last snapshot of each topic.
     """
 
     endpoints: EndpointDirectory
@@ -119,12 +126,14 @@
     tables: RouteTables | None = None
 
     def __post_init__(self) -> None:
-        self.loaded_topics: set[Topic] = set()
+        self.eras: dict[Topic, int] = {}
+        self._unconfirmed_zones: set[str] = set()
+        self._zone_deadline_s = float("-inf")
 
     @property
     def is_loaded(self) -> bool:
         """Return whether tables and a snapshot of the endpoints have been applied."""
-        return self.tables is not None and Topic.ENDPOINTS in self.loaded_topics
+        return self.tables is not None and Topic.ENDPOINTS in self.eras
 
     def apply(self, topic: Topic, page: Page) -> set[int]:
         """Apply a page of records.
@@ -137,32 +146,50 @@
           Indexes of the records that were not applied, as they are invalid or older
           than what is known of their key.
         """
+        restored = page.is_snapshot and page.era > self.eras.get(topic, page.era)
         if topic is Topic.OPERATORS:
-            not_applied = self._apply_operators(page)
+            not_applied = self._apply_operators(page, restored)
         elif topic is Topic.ENDPOINTS:
-            not_applied = self._apply_endpoints(page)
+            not_applied = self._apply_endpoints(page, restored)
         else:
-            not_applied = self._apply_routers(page)
+            not_applied = self._apply_routers(page, restored)
         if page.is_snapshot:
-            self.loaded_topics.add(topic)
+            self.eras[topic] = page.era
         return not_applied
 
-    def _apply_routers(self, page: Page) -> set[int]:
-        rejected = self.routers.apply(page)
+    def remove_expired(self) -> None:
+        """Drop what a store that failed or was restored did not show again in time."""
+        time_s = now()
+        self.endpoints.remove_expired(time_s)
+        self.routers.remove_expired(time_s)
+        if time_s < self._zone_deadline_s:
+            return
+        for zone in sorted(self._unconfirmed_zones):
+            self._set_zone_out(zone, False)
+        self._unconfirmed_zones.clear()
+
+    def _apply_routers(self, page: Page, restored: bool) -> set[int]:
+        rejected = self.routers.apply(page, now(), restored)
         for index in rejected:
             self.log.write("router_entry_rejected", key=page.records[index][0][:64])
         return rejected
 
-    def _apply_operators(self, page: Page) -> set[int]:
+    def _apply_operators(self, page: Page, restored: bool) -> set[int]:
         not_applied = self._apply_newest_tables(page)
+        if restored:
+            self._zone_deadline_s = now() + OPERATORS_REWRITE_S
         zones = {
             zone: value is not None
             for key, value in page.records
             if (zone := self.decoder.zone_of_key(key)) is not None
         }
+        self._unconfirmed_zones -= zones.keys()
         if page.is_snapshot:
-            for zone in self.endpoints.zones_out - zones.keys():
-                zones[zone] = False
+            missing = self.endpoints.zones_out - zones.keys()
+            if now() < self._zone_deadline_s:
+                self._unconfirmed_zones |= missing
+            else:
+                zones |= dict.fromkeys(missing, False)
         for zone, out in zones.items():
             self._set_zone_out(zone, out)
         return not_applied
@@ -238,7 +265,7 @@
         if changed:
             self.log.write("zone_changed", zone=zone, out=out)
 
-    def _apply_endpoints(self, page: Page) -> set[int]:
+    def _apply_endpoints(self, page: Page, restored: bool) -> set[int]:
         time_s = now()
         not_applied = set()
         for index, (key, value) in enumerate(page.records):
@@ -253,9 +280,16 @@
                 continue
             if not self.endpoints.declare(record, time_s):
                 not_applied.add(index)
+                self.log.write(
+                    "declaration_ignored",
+                    key=key[:64],
+                    started_ms=record.started_ms,
+                    count=record.sequence,
+                    draining=record.draining,
+                )
         if page.is_snapshot:
             endpoint_ids = [key for key, value in page.records if value is not None]
-            self.endpoints.retain(endpoint_ids, time_s)
+            self.endpoints.retain(endpoint_ids, time_s, restored)
         return not_applied
 
 
@@ -265,6 +299,7 @@
         "source": page.source or "store",
         "age_s": round(page.age_s, 2),
         "next_offset": page.next_offset,
+        "era": page.era,
     }
 
 
@@ -301,11 +336,11 @@
         self._cache = cache
         self._topic = topic
         self._state = state
-        self._offset: int | None = None
-        self._applied_offset = 0
+        self._position: Position | None = None
+        self._applied = Position(0, 0)
         self._as_of_s = float("-inf")
         self._read_task: asyncio.Task | None = None
-        self._interrupted = False
+        self._interruption: StoreError | None = None
         self.failing = False
         self.last_read_s = now()
         self.on_failing_changed: Callable[[TopicFollower], None] = _ignore_change
@@ -317,55 +352,65 @@
                 await self._read_interruptibly()
             except OffsetOutOfRangeError:
                 self._state.log.write("history_dropped", topic=self._topic.value)
-                self._offset = None
+                self._position = None
+            except EraChangedError:
+                self._position = None
             except StoreError as exc:
                 self._mark_failing(str(exc))
                 await asyncio.sleep(RETRY_DELAY_S * (1.0 + random.random()))
             else:
                 self._mark_recovered()
 
-    def interrupt_read(self) -> None:
-        """Cancel a waiting read.
+    def interrupt_read(self, why: StoreError | None = None) -> None:
+        """Cancel a waiting read, unless called by it.
 
-        Its connection may be dead without an error, which the next read shows.
+        Args:
+          why: Error that the read ends with. By default, its connection may be dead
+            without an error, which the next read shows.
         """
-        if self._read_task is not None:
-            self._interrupted = True
-            self._read_task.cancel()
+        if self._read_task in (None, asyncio.current_task()):
+            return
+        self._interruption = why or StoreError("interrupted to check the connection")
+        self._read_task.cancel()
 
     async def _read_interruptibly(self) -> None:
         self._read_task = asyncio.ensure_future(self._read_and_apply())
         try:
             await self._read_task
         except asyncio.CancelledError:
-            if not self._interrupted:
+            if self._interruption is None:
                 self._read_task.cancel()
                 raise
-            raise StoreError("interrupted to check the connection") from None
+            raise self._interruption from None
         finally:
-            self._interrupted = False
+            self._interruption = None
             self._read_task = None
 
     async def _read_and_apply(self) -> None:
-        if self._offset is None:
-            page = await self._sources.read_snapshot(self._topic, self._applied_offset)
+        if (
+            self._position is None
+            or self._position.era < self._sources.store.era.number
+        ):
+            page = await self._sources.read_snapshot(self._topic, self._applied)
         else:
             page = await self._sources.read(
-                self._topic, self._offset, self._wait_s, self._as_of_s
+                self._topic, self._position, self._wait_s, self._as_of_s
             )
-        if page.next_offset < self._applied_offset:
+        if not page.is_snapshot and page.era != self._position.era:
+            raise EraChangedError(f"records of era {page.era} of the store")
+        if page.next_position < self._applied:
             self._state.log.write(
                 "offset_went_back",
                 topic=self._topic.value,
-                before=self._applied_offset,
+                before=self._applied.offset,
                 **_origin_fields(page),
             )
         not_applied = self._state.apply(self._topic, page)
         if page.is_snapshot:
             self._cache.reset(self._topic, page, not_applied)
         else:
-            self._cache.extend(self._topic, self._offset, page, not_applied)
-        self._offset = self._applied_offset = page.next_offset
+            self._cache.extend(self._topic, self._position.offset, page, not_applied)
+        self._position = self._applied = page.next_position
         self.last_read_s = now()
         self._as_of_s = max(self._as_of_s, now() - page.age_s)
         if sum(len(value or b"") for _, value in page.records) > LARGE_PAGE_BYTES:
@@ -393,7 +438,10 @@
         if self._topic is Topic.ENDPOINTS:
             self._state.endpoints.store_recovered(now())
         self._state.log.write(
-            "store_regained", topic=self._topic.value, offset=self._offset
+            "store_regained",
+            topic=self._topic.value,
+            offset=self._applied.offset,
+            era=self._applied.era,
         )
         self.on_failing_changed(self)
 
@@ -425,6 +473,22 @@
         ]
         for follower in self.topic_followers:
             follower.on_failing_changed = self._interrupt_others
+        store.era.on_restored = self._on_store_restored
+
+    def _on_store_restored(self, before: int, era: int) -> None:
+        """Read all topics anew: offsets of the era before mean nothing now."""
+        tables = self._state.tables
+        self._state.log.write(
+            "store_restored",
+            before=before,
+            era=era,
+            tables=tables.version if tables else None,
+            zones_out=sorted(self._state.endpoints.zones_out),
+            endpoints=len(self._state.endpoints),
+            routers=len(self._state.routers),
+        )
+        for follower in self.topic_followers:
+            follower.interrupt_read(EraChangedError(f"the store is in era {era}"))
 
     def _interrupt_others(self, changed: TopicFollower) -> None:
         """Interrupt the reads of other topics, which may wait on dead connections."""
@@ -445,17 +509,26 @@
             group.create_task(self._register())
 
     async def _register(self) -> None:
-        """Register this router in the store, unless it is registered."""
+        """Register this router in the store whenever it is not registered."""
         cfg = self._cfg
         record = encode_router_record(cfg.zone, cfg.peers, cfg.relays)
+        registered_before = False
         while True:
             await asyncio.sleep(REGISTRATION_POLL_S)
-            if Topic.ROUTERS not in self._state.loaded_topics:
+            if Topic.ROUTERS not in self._state.eras:
+                continue
+            if self._is_registered():
+                registered_before = True
                 continue
-            if self._state.routers.is_registered(cfg.name, cfg.peers):
-                return
+            if registered_before:
+                await asyncio.sleep(REGISTRATION_SPREAD_S * random.random())
+                if self._is_registered():
+                    continue
             try:
                 await self._store.put(Topic.ROUTERS, cfg.name, record)
             except StoreError as exc:
                 self._state.log.write("entry_failed", why=str(exc))
-                await asyncio.sleep(REGISTRATION_RETRY_S)
+            await asyncio.sleep(REGISTRATION_RETRY_S)
+
+    def _is_registered(self) -> bool:
+        return self._state.routers.is_registered(self._cfg.name, self._cfg.peers)
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -1,12 +1,16 @@
 """HTTP client for a store or peer, with a persistent connection for each channel."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.httpclient import HttpClientConn, connect
 from cranberrysail.router.store import OffsetOutOfRangeError, StoreError
 
-__all__ = ["HttpStoreClient"]
+__all__ = ["HttpStoreClient", "StoreResponse"]
+
+Headers = list[tuple[bytes, bytes]]
 
 # Maximum size of a response. The records of thousands of endpoints take a few
 # megabytes.
@@ -18,24 +22,47 @@
 STATUS_GONE = 410
 
 
+@dataclass(frozen=True, slots=True)
+class StoreResponse:
+    """A successful response.
+
+    Attributes:
+      headers: Headers, names in lower case.
+    """
+
+    headers: Headers
+    body: bytes
+
+
+def _ignore_headers(headers: Headers) -> None:
+    """Do nothing; the default callback."""
+
+
 class HttpStoreClient:
     """Sends requests and reads responses; failed connections are not reused."""
 
-    def __init__(self, address: str, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        connect_timeout_s: float,
+        on_headers: Callable[[Headers], None] = _ignore_headers,
+    ) -> None:
         """Create a client.
 
         Args:
           address: ``ip:port`` of the server.
           connect_timeout_s: Maximum time to connect, in seconds.
+          on_headers: Called with the headers of each response, also of errors.
         """
+        self._on_headers = on_headers
         self._address = address
         self._connect_timeout_s = connect_timeout_s
         self._conns: dict[str, HttpClientConn] = {}
 
     async def request(
         self, channel: str, method: str, target: str, body: bytes, timeout_s: float
-    ) -> bytes:
-        """Return the body of a successful response.
+    ) -> StoreResponse:
+        """Return a successful response.
 
         Args:
           channel: Name of the connection; requests on one channel are sequential.
@@ -52,6 +79,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await self._send(channel, method, target, body)
+            self._on_headers(conn.headers)
             return await self._read_body(conn)
         except TimeoutError as exc:
             self._discard(channel)
@@ -88,7 +116,7 @@
         await conn.wait_for_head()
         return conn
 
-    async def _read_body(self, conn: HttpClientConn) -> bytes:
+    async def _read_body(self, conn: HttpClientConn) -> StoreResponse:
         data = await conn.read_all(MAX_RESPONSE_BYTES, READ_TIMEOUT_S)
         conn.mark_idle()
         if conn.status == STATUS_GONE:
@@ -99,7 +127,7 @@
             raise StoreError(
                 f"{self._address} returned status {conn.status}; try again later"
             )
-        return data
+        return StoreResponse(conn.headers, data)
 
     def close(self) -> None:
         """Close all connections."""
--- a/cranberrysail/router/loadexchange.py
+++ b/cranberrysail/router/loadexchange.py
@@ -75,10 +75,10 @@
         target = f"{LOADS_PATH}?within_ms={within_s * 1000:.0f}"
         sent = self._load_gossip.encode(started_s, within_s)
         try:
-            received = await client.request(
+            response = await client.request(
                 "loads", "POST", target, sent, RESPONSE_TIMEOUT_S
             )
-            self._load_gossip.merge_message(received, now())
+            self._load_gossip.merge_message(response.body, now())
         except (StoreError, msgspec.DecodeError) as exc:
             self._backoff_until_s[partner.address] = now() + BACKOFF_S
             self._log.write("loads_not_exchanged", peer=partner.name, why=str(exc))
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -49,6 +49,7 @@
           shared: State shared with other views, or None for a new store.
           client: Name under which requests through this view are counted.
         """
+        super().__init__()
         self._shared = shared or _SharedState()
         self._client = client
         # Views by client. In a client's view the empty name leads to the view from
@@ -111,13 +112,15 @@
             raise StoreError("no response from the store")
         if self._has_fault("down"):
             raise StoreError("the store is down")
+        self.era.observe(self._shared.era)
 
     async def read_snapshot(self, topic: Topic) -> Page:
         """Return the newest record of each key."""
         await self._raise_if_failing(topic)
         newest = dict(self._shared.records[topic])
         records = tuple((k, v) for k, v in newest.items() if v is not None)
-        return Page(records, len(self._shared.records[topic]), is_snapshot=True)
+        end = len(self._shared.records[topic])
+        return Page(records, end, is_snapshot=True, era=self._shared.era)
 
     async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
         """Return the records from an offset on."""
@@ -141,7 +144,7 @@
         if self._shared.era != era:
             raise StoreError("the connection was reset")
         records = tuple(self._shared.records[topic][start:])
-        return Page(records, start + len(records))
+        return Page(records, start + len(records), era=era)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Append a record, unless a fault is set."""
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -22,7 +22,9 @@
     BaseStore,
     OffsetOutOfRangeError,
     Page,
+    Position,
     StalePeerError,
+    StoreEra,
     StoreError,
     Topic,
 )
@@ -52,6 +54,8 @@
     Topic.ENDPOINTS: 1.4,
     Topic.ROUTERS: 10.0,
 }
+# Routers that a restored store does not list register again within this time.
+REGISTRATION_GRACE_S = 5.0
 # Compression does not pay for smaller pages.
 COMPRESSION_MIN_BYTES = 1024
 # First byte of zlib data; a msgpack-encoded list of records starts with another.
@@ -80,12 +84,14 @@
       end: Offset at which the next read begins, as ``Page.next_offset``.
       age_s: Time since the responding router last read the topic from the store.
       whole: True for a snapshot, as ``Page.is_snapshot``.
+      era: Era of the store in which the records were read, as ``Page.era``.
     """
 
     records: bytes
     end: int
     age_s: float
     whole: bool = False
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,21 +122,38 @@
         self._name = name
         self._zone = zone
         self._routers: dict[str, RegisteredRouter] = {}
+        self._unconfirmed: set[str] = set()
+        self._confirmation_deadline_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._routers)
 
     def is_registered(self, name: str, address: str) -> bool:
-        """Return whether a router is registered with an address."""
+        """Return whether the store lists a router with an address."""
         peer = self._routers.get(name)
-        return peer is not None and peer.address == address
+        listed = peer is not None and name not in self._unconfirmed
+        return listed and peer.address == address
 
-    def apply(self, page: Page) -> set[int]:
-        """Apply records and return the indexes of those that cannot be decoded."""
+    def apply(self, page: Page, now: float, restored: bool = False) -> set[int]:
+        """Apply records and return the indexes of those that cannot be decoded.
+
+        Routers that a restored store does not list are kept until they had time to
+        register again, as the shares of the others depend on their number.
+
+        Args:
+          page: The records.
+          now: Current time in seconds.
+          restored: True for the first snapshot of a restored store.
+        """
         rejected = set()
-        if page.is_snapshot:
+        if restored:
+            self._confirmation_deadline_s = now + REGISTRATION_GRACE_S
+        if page.is_snapshot and now < self._confirmation_deadline_s:
+            self._unconfirmed.update(self._routers)
+        elif page.is_snapshot:
             self._routers.clear()
         for index, (key, value) in enumerate(page.records):
+            self._unconfirmed.discard(key)
             if value is None:
                 self._routers.pop(key, None)
                 continue
@@ -144,6 +167,14 @@
             )
         return rejected
 
+    def remove_expired(self, now: float) -> None:
+        """Remove routers that did not register again in time."""
+        if not self._unconfirmed or now < self._confirmation_deadline_s:
+            return
+        for name in self._unconfirmed:
+            self._routers.pop(name, None)
+        self._unconfirmed.clear()
+
     def rank(self, endpoint: str) -> int:
         """Return how many routers rank before this one for an endpoint.
 
@@ -214,12 +245,13 @@
         Args:
           address: ``ip:port`` at which the router serves its peers.
         """
+        super().__init__()
         self._http = HttpStoreClient(address, CONNECT_TIMEOUT_S)
         self._decoder = msgspec.msgpack.Decoder(_PeerResponse)
 
     async def read_snapshot(self, topic: Topic) -> Page:
         """Return the newest record of each key."""
-        page = await self.read(topic, 0, 0.0)
+        page = await self.read(topic, Position(self.era.number, 0), 0.0)
         if not page.is_snapshot:
             raise StoreError("the peer has no snapshot; read the store")
         return page
@@ -227,35 +259,43 @@
     async def read(
         self,
         topic: Topic,
-        start: int,
+        start: Position,
         wait_s: float,
         timeout_s: float = MAX_WAIT_S + RESPONSE_TIMEOUT_S,
     ) -> Page:
-        """Return the newest record of each key from an offset on.
+        """Return the newest record of each key from a position on.
 
-        Returns a snapshot if the peer has cached none that far back.
+        Returns a snapshot if the peer has cached none that far back, or is in a later
+        era.
 
         Args:
           topic: The topic.
-          start: Offset from which to read.
+          start: Position from which to read.
           wait_s: Maximum time to wait for a record.
           timeout_s: Upper limit of the time until the response begins.
         """
         wait_s = min(wait_s, MAX_WAIT_S)
         target = (
-            f"{RECORDS_PATH}?topic={topic.value}&from={start}"
+            f"{RECORDS_PATH}?topic={topic.value}&era={start.era}&from={start.offset}"
             f"&wait_ms={wait_s * 1000:.0f}"
         )
         timeout_s = min(timeout_s, wait_s + RESPONSE_TIMEOUT_S)
-        body = await self._http.request(topic.value, "POST", target, b"", timeout_s)
+        http = await self._http.request(topic.value, "POST", target, b"", timeout_s)
         try:
-            response = self._decoder.decode(body)
+            response = self._decoder.decode(http.body)
             records = _decode(response.records)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise StoreError(f"the peer's response cannot be decoded ({exc})") from exc
+        self.era.observe(response.era)
         if response.age_s >= MAX_RECORD_AGE_S[topic]:
             raise StalePeerError(f"the peer read the store {response.age_s:.1f} s ago")
-        return Page(records, response.end, response.whole, age_s=response.age_s)
+        return Page(
+            records,
+            response.end,
+            response.whole,
+            era=response.era,
+            age_s=response.age_s,
+        )
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Raise an error, as only the store accepts records.
@@ -299,6 +339,7 @@
 def create_peer_server(
     cache: RecordCache,
     since_store_read_s: Callable[[Topic], float],
+    era: StoreEra,
     load_gossip: LoadGossip,
     on_error: Callable[[BaseException], None],
 ) -> HttpListener:
@@ -308,6 +349,7 @@
       cache: The records.
       since_store_read_s: Returns the time since this router last read a topic from
         the store.
+      era: Era of the store, which peers may know of first.
       load_gossip: Loads to share, and where to merge those of peers.
       on_error: Called with an unexpected exception.
     """
@@ -318,15 +360,16 @@
             _exchange_loads(load_gossip, request, conn)
             return
         try:
-            topic, start, wait_s = _parse_query(request)
+            topic, position, wait_s = _parse_query(request)
         except (KeyError, ValueError):
             conn.send_response(
-                400, BINARY_HEADERS, b"topic, from and wait_ms are needed\n"
+                400, BINARY_HEADERS, b"topic, era, from and wait_ms are needed\n"
             )
             return
+        era.observe(position.era)
         try:
             fresh_for_s = max(0.0, MAX_RECORD_AGE_S[topic] - since_store_read_s(topic))
-            page = await cache.read(topic, start, min(wait_s, fresh_for_s))
+            page = await cache.read(topic, position, min(wait_s, fresh_for_s))
         except OffsetOutOfRangeError:
             conn.send_response(410, BINARY_HEADERS, b"")
             return
@@ -335,6 +378,7 @@
             page.next_offset,
             since_store_read_s(topic),
             page.is_snapshot,
+            page.era,
         )
         conn.send_response(200, BINARY_HEADERS, msgspec.msgpack.encode(response))
 
@@ -364,7 +408,8 @@
     return parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
 
 
-def _parse_query(request: HttpRequest) -> tuple[Topic, int, float]:
+def _parse_query(request: HttpRequest) -> tuple[Topic, Position, float]:
     query = _query(request)
     wait_s = min(float(query["wait_ms"][0]) / 1000, MAX_WAIT_S)
-    return Topic(query["topic"][0]), int(query["from"][0]), wait_s
+    position = Position(int(query["era"][0]), int(query["from"][0]))
+    return Topic(query["topic"][0]), position, wait_s
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -140,6 +140,7 @@
             "endpoints": len(self.endpoints),
             "routers": len(self.routers),
             "tables_version": self.routing_state.tables.version if self.ready else 0,
+            "store_era": self.follower.sources.store.era.number,
             "connections_opened": (
                 self.call_handler.attempt_runner.connection_pool.opened
             ),
@@ -154,6 +155,7 @@
             "zone": self.cfg.zone,
             "ready": self.ready,
             "tables": tables.version if tables else None,
+            "store_era": self.follower.sources.store.era.number,
             "routers": len(self.routers),
             "zones_out": sorted(self.endpoints.zones_out),
             "followers": {
@@ -198,6 +200,7 @@
             create_peer_server(
                 follower.cache,
                 follower.sources.since_store_read_s,
+                follower.sources.store.era,
                 self.load_gossip,
                 self._on_unexpected_error,
             ),
--- a/cranberrysail/router/recordcache.py
+++ b/cranberrysail/router/recordcache.py
@@ -4,7 +4,7 @@
 from collections.abc import Set
 from dataclasses import dataclass, field
 
-from cranberrysail.router.store import OffsetOutOfRangeError, Page, Topic
+from cranberrysail.router.store import OffsetOutOfRangeError, Page, Position, Topic
 
 __all__ = ["RecordCache"]
 
@@ -18,6 +18,7 @@
     """The newest record of each key of one topic, oldest first.
 
     Attributes:
+      era: Era of the store in which the records were read.
       first_offset: Offset from which on no record is missing.
       next_offset: Offset after the newest record.
       has_all_keys: True while no key has been evicted.
@@ -25,6 +26,7 @@
       updated: Set, and then replaced, when records are added.
     """
 
+    era: int
     first_offset: int
     next_offset: int
     has_all_keys: bool = True
@@ -57,13 +59,13 @@
           OffsetOutOfRangeError: If records from the offset on are not cached.
         """
         if start < self.first_offset:
-            return self._snapshot()
+            return self.snapshot()
         records = tuple(
             (key, value) for key, (end, value) in self.records.items() if end > start
         )
-        return Page(records, self.next_offset)
+        return Page(records, self.next_offset, era=self.era)
 
-    def _snapshot(self) -> Page:
+    def snapshot(self) -> Page:
         if not self.has_all_keys:
             raise OffsetOutOfRangeError(
                 "the requested records are not cached; read the store"
@@ -73,7 +75,7 @@
             for key, (_, value) in self.records.items()
             if value is not None
         )
-        return Page(records, self.next_offset, is_snapshot=True)
+        return Page(records, self.next_offset, is_snapshot=True, era=self.era)
 
 
 @dataclass
@@ -95,7 +97,7 @@
           page: The snapshot.
           not_applied: Indexes of records that were not applied.
         """
-        cached = _TopicCache(page.next_offset, page.next_offset)
+        cached = _TopicCache(page.era, page.next_offset, page.next_offset)
         previous = self._topics.get(topic)
         if previous is not None:
             for index in not_applied:
@@ -126,27 +128,40 @@
         cached = self._topics.get(topic)
         if (
             cached is not None
+            and cached.era == page.era
             and cached.next_offset == start
             and page.next_offset > start
         ):
             cached.extend(page, not_applied)
 
-    async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
-        """Return the records from an offset on, waiting until there is one.
+    async def read(self, topic: Topic, position: Position, wait_s: float) -> Page:
+        """Return the records from a position on, waiting until there is one.
 
         Only the newest record of each key is returned, so that a burst of table
-        versions is sent as one. A reader that is behind the cached offsets gets
-        the newest record of every key.
+        versions is sent as one. A reader that is behind the cached records, or in an
+        earlier era of the store, gets the newest record of every key. One in a later
+        era gets none.
 
         Raises:
-          OffsetOutOfRangeError: If records from the offset on are not cached.
+          OffsetOutOfRangeError: If records from the position on are not cached.
         """
         if topic not in self._topics:
             raise OffsetOutOfRangeError("no records are cached yet; read the store")
         try:
             async with asyncio.timeout(wait_s):
-                while self._topics[topic].next_offset <= start:
+                while self._has_none_beyond(topic, position):
                     await self._topics[topic].updated.wait()
         except TimeoutError:
-            return Page((), start)
-        return self._topics[topic].records_from(start)
+            pass
+        cached = self._topics[topic]
+        if cached.era < position.era:
+            return Page((), cached.next_offset, era=cached.era)
+        if cached.era > position.era:
+            return cached.snapshot()
+        if cached.next_offset <= position.offset:
+            return Page((), position.offset, era=position.era)
+        return cached.records_from(position.offset)
+
+    def _has_none_beyond(self, topic: Topic, position: Position) -> bool:
+        cached = self._topics[topic]
+        return cached.era == position.era and cached.next_offset <= position.offset
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -15,8 +15,10 @@
 )
 from cranberrysail.router.store import (
     BaseStore,
+    EraChangedError,
     OffsetOutOfRangeError,
     Page,
+    Position,
     StalePeerError,
     StoreError,
     Topic,
@@ -32,6 +34,9 @@
 # Delay before a stale peer is asked again. Short, since it may read the store at any
 # moment.
 STALE_PEER_RETRY_S = 0.3
+# How often peers that have not read a restored store yet are asked again before this
+# router reads the snapshot from the store, so that few of a zone do.
+RESTORED_PEER_RETRIES = 2
 # After a failed read of the store, the fallback peers are asked before it for this
 # long.
 STORE_RETRY_S = 1.5
@@ -45,8 +50,13 @@
 
 @dataclass
 class _Backoff:
-    """When a peer is tried again, and the delay after its next failure."""
+    """When a peer is tried again, and the delay after its next failure.
 
+    Attributes:
+      outdated: True if its last response was of an earlier era of the store.
+    """
+
+    outdated: bool = False
     until_s: float = 0.0
     delay_s: float = INITIAL_BACKOFF_S
 
@@ -71,7 +81,7 @@
     _clients: dict[str, PeerStore] = field(default_factory=dict)
     _backoffs: dict[str, _Backoff] = field(default_factory=dict)
 
-    async def read_snapshot(self, topic: Topic, min_offset: int) -> Page:
+    async def read_snapshot(self, topic: Topic, min_position: Position) -> Page:
         """Return the newest record of each key.
 
         Asks peers first, since they compress the records. The store does not, and a
@@ -79,24 +89,67 @@
 
         Args:
           topic: The topic.
-          min_offset: Offset up to which records have been applied; a snapshot that
+          min_position: Position up to which records have been applied; a snapshot that
             ends before it is ignored.
 
         Raises:
           StoreError: If no source returns a usable response.
         """
-        for peer in self.routers.preferred_peers():
-            page = await self._read_peer(peer, topic, 0, 0.0, RESPONSE_TIMEOUT_S)
-            if page is not None and page.is_snapshot and page.next_offset >= min_offset:
+        for retry in range(RESTORED_PEER_RETRIES + 1):
+            if retry:
+                await asyncio.sleep(STALE_PEER_RETRY_S)
+            page = await self._read_peer_snapshot(
+                topic, min_position, self.routers.preferred_peers()
+            )
+            if page is not None:
                 return page
-        page = await self.store.read_snapshot(topic)
+            if not self._has_outdated_peer():
+                break
+        try:
+            page = await self.store.read_snapshot(topic)
+            self._raise_if_outdated(page)
+        except EraChangedError:
+            raise
+        except StoreError as exc:
+            self.log.write("store_failed", topic=topic.value, why=str(exc))
+            page = await self._read_peer_snapshot(
+                topic, min_position, self.routers.fallback_peers()
+            )
+            if page is None:
+                raise
+            return page
         self.store_last_read_s[topic] = now()
         return page
 
+    def _has_outdated_peer(self) -> bool:
+        addresses = [peer.address for peer in self.routers.preferred_peers()]
+        return any(self._backoffs[a].outdated for a in addresses if a in self._backoffs)
+
+    async def _read_peer_snapshot(
+        self, topic: Topic, min_position: Position, peers: list[RegisteredRouter]
+    ) -> Page | None:
+        start = Position(self.store.era.number, 0)
+        for peer in peers:
+            page = await self._read_peer(peer, topic, start, 0.0, RESPONSE_TIMEOUT_S)
+            if (
+                page is not None
+                and page.is_snapshot
+                and page.next_position >= min_position
+            ):
+                return page
+        return None
+
+    def _raise_if_outdated(self, page: Page) -> None:
+        if page.era < self.store.era.number:
+            raise StoreError(
+                f"the store responded in its era {page.era}, after "
+                f"{self.store.era.number} had begun; read again"
+            )
+
     async def read(
-        self, topic: Topic, start: int, wait_s: float, as_of_s: float
+        self, topic: Topic, start: Position, wait_s: float, as_of_s: float
     ) -> Page:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         Peers are waited for only as long as the records of this router are not too
         old, so that peers that do not respond, one after another, do not delay the
@@ -104,11 +157,12 @@
 
         Args:
           topic: The topic.
-          start: Offset from which to read.
+          start: Position from which to read.
           wait_s: Maximum time to wait for a record.
-          as_of_s: Time at which the store had no records beyond the offset.
+          as_of_s: Time at which the store had no records beyond the position.
 
         Raises:
+          EraChangedError: If the position is of an earlier era of the store.
           OffsetOutOfRangeError: If the store has dropped them.
           StoreError: If no source returns a usable response.
         """
@@ -132,7 +186,7 @@
                 return page
         try:
             return await self._read_store(topic, start, wait_s)
-        except OffsetOutOfRangeError:
+        except (OffsetOutOfRangeError, EraChangedError):
             raise
         except StoreError as exc:
             self.log.write("store_failed", topic=topic.value, why=str(exc))
@@ -142,18 +196,21 @@
                 raise
             return page
 
-    async def _read_store(self, topic: Topic, start: int, wait_s: float) -> Page:
+    async def _read_store(self, topic: Topic, start: Position, wait_s: float) -> Page:
         await self._wait_for_interval(topic)
         try:
-            page = await self.store.read(topic, start, wait_s)
+            page = await self.store.read(topic, start.offset, wait_s)
         except OffsetOutOfRangeError:
             self.store_last_read_s[topic] = now()
             raise
+        self._raise_if_outdated(page)
+        if page.era > start.era:
+            raise EraChangedError(f"the store is in its era {page.era}")
         self.store_last_read_s[topic] = now()
         return page
 
     async def _read_fallback_peers(
-        self, topic: Topic, start: int, wait_s: float
+        self, topic: Topic, start: Position, wait_s: float
     ) -> Page | None:
         for peer in self.routers.fallback_peers():
             timeout_s = min(wait_s, MAX_WAIT_S) + RESPONSE_TIMEOUT_S
@@ -175,16 +232,21 @@
         self,
         peer: RegisteredRouter,
         topic: Topic,
-        start: int,
+        start: Position,
         wait_s: float,
         timeout_s: float,
     ) -> Page | None:
+        """Return a peer's page; None if it has no usable response."""
         backoff = self._backoffs.setdefault(peer.address, _Backoff())
         if now() < backoff.until_s:
             return None
         client = self._clients.setdefault(peer.address, PeerStore(peer.address))
         try:
             page = await client.read(topic, start, wait_s, timeout_s)
+            self.store.era.observe(page.era)
+            backoff.outdated = page.era < self.store.era.number
+            if backoff.outdated:
+                raise StalePeerError(f"the peer is in era {page.era} of the store")
         except StalePeerError:
             backoff.until_s = now() + STALE_PEER_RETRY_S
             return None
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -1,6 +1,7 @@
 """Interface of the metadata store that operators, endpoints and routers write to."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -8,9 +9,12 @@
 
 __all__ = [
     "BaseStore",
+    "EraChangedError",
     "OffsetOutOfRangeError",
     "Page",
+    "Position",
     "StalePeerError",
+    "StoreEra",
     "StoreError",
     "Topic",
 ]
@@ -42,6 +46,53 @@
     """The records from an offset on are not available; read a snapshot instead."""
 
 
+class EraChangedError(StoreError):
+    """The store was restored from a copy; read a snapshot in the new era."""
+
+
+def _ignore_restore(before: int, era: int) -> None:
+    """Do nothing; the default callback."""
+
+
+class StoreEra:
+    """The era of the store, which rises each time it is restored from a copy.
+
+    A restored store lacks the newest records and gives out their offsets again.
+
+    Attributes:
+      number: Highest era seen in any response; 0 if the store states none.
+      on_restored: Called with the era before and the new one when it has risen.
+    """
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.on_restored: Callable[[int, int], None] = _ignore_restore
+        self._known = False
+
+    def observe(self, number: int) -> None:
+        """Take in the era that a response states."""
+        before, known = self.number, self._known
+        self._known = True
+        if number <= before:
+            return
+        self.number = number
+        if known:
+            self.on_restored(before, number)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A place in the log of a topic.
+
+    Attributes:
+      era: Era of the store, without which the offset means nothing.
+      offset: Offset of the next record to read.
+    """
+
+    era: int
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class Page:
     """Records in the order in which they were written.
@@ -50,6 +101,7 @@
       records: Pairs of key and value; the value is None if the key was removed.
       next_offset: Offset at which the next read begins.
       is_snapshot: True for a snapshot, that is, the newest record of every key.
+      era: Era of the store in which they were read.
       source: Name of the peer that they were read from; empty for the store.
       age_s: Time since that peer last read the topic from the store.
     """
@@ -57,12 +109,25 @@
     records: tuple[tuple[str, bytes | None], ...]
     next_offset: int
     is_snapshot: bool = False
+    era: int = 0
     source: str = field(default="", compare=False)
     age_s: float = field(default=0.0, compare=False)
 
+    @property
+    def next_position(self) -> Position:
+        """Return the position at which the next read begins."""
+        return Position(self.era, self.next_offset)
+
 
 class BaseStore(ABC):
-    """A set of logs, one per topic, of records with keys."""
+    """A set of logs, one per topic, of records with keys.
+
+    Attributes:
+      era: Era of the store, as seen by this client.
+    """
+
+    def __init__(self) -> None:
+        self.era = StoreEra()
 
     @abstractmethod
     async def read_snapshot(self, topic: Topic) -> Page:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,8 +8,18 @@
 import httptools
 import pytest
 
-from cranberrysail.platform.store import PlatformStore, decode_records, encode_record
-from cranberrysail.router.store import OffsetOutOfRangeError, StoreError, Topic
+from cranberrysail.platform.store import (
+    PlatformStore,
+    decode_era,
+    decode_records,
+    encode_record,
+)
+from cranberrysail.router.store import (
+    EraChangedError,
+    OffsetOutOfRangeError,
+    StoreError,
+    Topic,
+)
 from tests.router.scriptedserver import Script, ScriptedServer
 from tests.router.virtualloop import run_virtual
 
@@ -19,8 +29,9 @@
 class SimulatedStoreConn(asyncio.Protocol):
     """Server side of a connection to the simulated store."""
 
-    def __init__(self, respond):
+    def __init__(self, respond, extra_headers=""):
         self.respond = respond
+        self.extra_headers = extra_headers
         self.parser = httptools.HttpRequestParser(self)
 
     def connection_made(self, transport):
@@ -44,13 +55,13 @@
         if status == 0:
             self.transport.reset()
             return
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-        self.transport.write(head.encode() + body)
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+        self.transport.write(f"{head}{self.extra_headers}\r\n".encode() + body)
 
 
-def call_store(respond, call):
+def call_store(respond, call, extra_headers=""):
     async def main(loop):
-        loop.servers[ADDRESS] = lambda: SimulatedStoreConn(respond)
+        loop.servers[ADDRESS] = lambda: SimulatedStoreConn(respond, extra_headers)
         store = PlatformStore("10.9.0.1:80")
         try:
             return await call(store)
@@ -234,3 +245,58 @@
     for size in range(len(body)):
         with pytest.raises(StoreError):
             read_cut(body, size, lambda s: s.read_snapshot(Topic.ENDPOINTS))
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, struct.pack(">QQ", 4, 0)),
+        (410, b"{}"),
+        (429, b""),
+        (503, b""),
+        (200, b"cut"),
+    ],
+)
+def test_era_of_every_response_is_taken_in(status, body):
+    async def call(store):
+        try:
+            page = await store.read(Topic.ENDPOINTS, 4, 0.0)
+            assert page.era == 7
+        except StoreError:
+            pass
+        return store.era.number
+
+    assert call_store(lambda *_: (status, body), call, "Store-Era: 7\r\n") == 7
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"9" * 40, b"\xc2\xb2"])
+def test_era_that_is_no_number_is_no_era(value):
+    assert decode_era([(b"store-era", value)]) == 0
+    assert decode_era([]) == 0
+
+
+def test_offset_beyond_the_end_raises_offset_out_of_range():
+    page = struct.pack(">QQ", 3, 0)
+    with pytest.raises(OffsetOutOfRangeError):
+        call_store(lambda *_: (200, page), lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+
+
+def test_snapshot_of_two_eras_is_an_error():
+    eras = iter((1, 2))
+
+    class RestoredStoreConn(SimulatedStoreConn):
+        def on_message_complete(self):
+            self.extra_headers = f"Store-Era: {next(eras)}\r\n"
+            super().on_message_complete()
+
+    def respond(path, query):
+        item = {"key": "a", "value": "MQ==", "offset": 4}
+        page = {"items": [item], "has_more": "after=" not in query, "end": 8}
+        return 200, json.dumps(page).encode()
+
+    async def main(loop):
+        loop.servers[ADDRESS] = lambda: RestoredStoreConn(respond)
+        with pytest.raises(EraChangedError):
+            await PlatformStore("10.9.0.1:80").read_snapshot(Topic.OPERATORS)
+
+    run_virtual(main)
--- a/tests/router/test_explain.py
+++ b/tests/router/test_explain.py
@@ -130,3 +130,25 @@
     os.close(read_end)
     sink.write("z\n")
     os.close(write_end)
+
+
+def test_store_restored_from_a_copy_is_explained():
+    log = [
+        line(
+            9.0,
+            "store_restored",
+            before=1,
+            era=2,
+            tables=7,
+            zones_out=["b"],
+            endpoints=4,
+            routers=3,
+        ),
+        line(9.5, "denied", id="a", status=401, why="bad_key", tables=7),
+    ]
+    sentences = explain_request(parse_lines(log), "a")
+    assert sentences[0] == (
+        "-500 ms r1: (context) the store was restored from a copy (era 2 after 1); "
+        "kept until it is written again: tables version 7, 4 endpoints, 3 routers, "
+        "zones out of service: b"
+    )
--- a/tests/router/test_httpstore.py
+++ b/tests/router/test_httpstore.py
@@ -16,8 +16,8 @@
         loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script] * requests)
         client = HttpStoreClient(ADDRESS, 1.0)
         for _ in range(requests):
-            body = await client.request("records", "GET", "/", b"", 1.0)
-        return body
+            response = await client.request("records", "GET", "/", b"", 1.0)
+        return response.body
 
     return run_virtual(main)
 
--- a/tests/router/test_limits.py
+++ b/tests/router/test_limits.py
@@ -31,7 +31,7 @@
         for n in range(routers)
     )
     for book in peer_books:
-        book.apply(Page(entries, routers, is_snapshot=True))
+        book.apply(Page(entries, routers, is_snapshot=True), 0.0)
     sent = []
     now = 0.0
     while now < 20.0:
--- a/tests/router/test_loadgossip.py
+++ b/tests/router/test_loadgossip.py
@@ -164,7 +164,7 @@
             (f"r{n}", encode_router_record("abcd"[n % 4], f"10.0.0.{n}:1", n != 0))
             for n in range(40)
         ]
-        directory.apply(Page(tuple(records), 40, is_snapshot=True))
+        directory.apply(Page(tuple(records), 40, is_snapshot=True), 0.0)
         return directory
 
     exchanging = {}
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -7,7 +7,7 @@
 
 from cranberrysail.router import peers
 from cranberrysail.router.peers import PeerStore
-from cranberrysail.router.store import StoreError, Topic
+from cranberrysail.router.store import Position, StoreError, Topic
 from tests.router.scriptedserver import ADDRESS, Script, ScriptedServer
 from tests.router.simulatedfleet import SimulatedFleet, make_config, plain_answer
 from tests.router.virtualloop import run_virtual
@@ -153,7 +153,7 @@
 
         async def main(loop):
             loop.servers["10.0.1.1", 80] = lambda: ScriptedServer([script])
-            return await PeerStore(ADDRESS).read(Topic.ENDPOINTS, 4, 0.0)
+            return await PeerStore(ADDRESS).read(Topic.ENDPOINTS, Position(0, 4), 0.0)
 
         return run_virtual(main)
 
--- a/tests/router/test_recordcache.py
+++ b/tests/router/test_recordcache.py
@@ -6,7 +6,7 @@
 
 from cranberrysail.router import recordcache
 from cranberrysail.router.recordcache import RecordCache
-from cranberrysail.router.store import OffsetOutOfRangeError, Page, Topic
+from cranberrysail.router.store import OffsetOutOfRangeError, Page, Position, Topic
 from tests.router.simulatedfleet import SimulatedFleet, make_config, plain_answer
 from tests.router.virtualloop import run_virtual
 
@@ -21,7 +21,8 @@
 
 
 def read(cache, start, wait_s=0.0):
-    return run_virtual(lambda loop: cache.read(Topic.OPERATORS, start, wait_s))
+    position = Position(0, start)
+    return run_virtual(lambda loop: cache.read(Topic.OPERATORS, position, wait_s))
 
 
 def test_records_from_offset_are_returned():
@@ -97,7 +98,9 @@
 def test_reader_that_waits_is_answered_when_a_snapshot_replaces_the_records():
     async def main(loop):
         cache = cache_with()
-        reading = asyncio.ensure_future(cache.read(Topic.OPERATORS, 10, 5.0))
+        reading = asyncio.ensure_future(
+            cache.read(Topic.OPERATORS, Position(0, 10), 5.0)
+        )
         await asyncio.sleep(0.1)
         cache.reset(Topic.OPERATORS, Page((("a", b"1"),), 14))
         page = await reading
