Read what a restored store was given again, and check tables with a peer at the start

A router that starts compares its tables once with a peer's, however old these are, as versions only rise.

Random scenarios restore the store, write again what it lost, also behind newer records, and check that draining workers get nothing new; both checks are shown able to fail. They seed the delays of routers, too, so that a seed is one scenario.

--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -60,6 +61,8 @@
 # The routers that a restored store no longer lists register again at random times
 # within this period, so that the store is not overloaded.
 REGISTRATION_SPREAD_S = 2.0
+# Maximum age of the copy that a store is restored from.
+COPY_AGE_S = 30.0
 # Operators' records that a restored store lacks are written again within this time.
 OPERATORS_REWRITE_S = 4.0
 
@@ -194,6 +197,18 @@
             self._set_zone_out(zone, out)
         return not_applied
 
+    def apply_tables(self, page: Page) -> tuple[str, bytes] | None:
+        """Apply the newest tables of a page, and nothing else of it.
+
+        Returns:
+          The record that is in force now, None if it is not of the page.
+        """
+        not_applied = self._apply_newest_tables(page)
+        for index, (key, value) in enumerate(page.records):
+            if self.decoder.is_tables_key(key) and index not in not_applied:
+                return key, value
+        return None
+
     def _apply_newest_tables(self, page: Page) -> set[int]:
         """Apply the valid tables of the highest version, wherever they stand."""
         indexes = [
@@ -307,6 +322,28 @@
     """Do nothing; the default callback."""
 
 
+class _OffsetHistory:
+    """Offsets that were reached lately, oldest first."""
+
+    def __init__(self) -> None:
+        self._reached: deque[tuple[float, int]] = deque()
+
+    def add(self, offset: int, now: float) -> None:
+        if self._reached and self._reached[-1][1] == offset:
+            return
+        self._reached.append((now, offset))
+        while len(self._reached) > 1 and self._reached[1][0] < now - COPY_AGE_S:
+            self._reached.popleft()
+
+    def clear(self) -> None:
+        self._reached.clear()
+
+    @property
+    def oldest(self) -> int | None:
+        """Return the offset of ``COPY_AGE_S`` ago, or the first one after that."""
+        return self._reached[0][1] if self._reached else None
+
+
 class TopicFollower:
     """Reads one topic continuously, and recovers from failures of the store.
 
@@ -338,6 +375,7 @@
         self._state = state
         self._position: Position | None = None
         self._applied = Position(0, 0)
+        self._reached = _OffsetHistory()
         self._as_of_s = float("-inf")
         self._read_task: asyncio.Task | None = None
         self._interruption: StoreError | None = None
@@ -391,7 +429,9 @@
             self._position is None
             or self._position.era < self._sources.store.era.number
         ):
-            page = await self._sources.read_snapshot(self._topic, self._applied)
+            page = await self._sources.read_snapshot(
+                self._topic, self._applied, self._reached.oldest
+            )
         else:
             page = await self._sources.read(
                 self._topic, self._position, self._wait_s, self._as_of_s
@@ -410,6 +450,9 @@
             self._cache.reset(self._topic, page, not_applied)
         else:
             self._cache.extend(self._topic, self._position.offset, page, not_applied)
+        if page.era != self._applied.era:
+            self._reached.clear()
+        self._reached.add(page.next_offset, now())
         self._position = self._applied = page.next_position
         self.last_read_s = now()
         self._as_of_s = max(self._as_of_s, now() - page.age_s)
@@ -507,6 +550,19 @@
             for follower in self.topic_followers:
                 group.create_task(follower.run())
             group.create_task(self._register())
+            group.create_task(self._check_tables_with_peers())
+
+    async def _check_tables_with_peers(self) -> None:
+        """Take over newer tables that a peer has when this router starts.
+
+        The newest record of the store may be an older version that was written late.
+        """
+        while self._state.tables is None or Topic.ROUTERS not in self._state.eras:
+            await asyncio.sleep(REGISTRATION_POLL_S)
+        page = await self.sources.read_peer_snapshot(Topic.OPERATORS)
+        record = self._state.apply_tables(page) if page is not None else None
+        if record is not None:
+            self.cache.replace(Topic.OPERATORS, *record)
 
     async def _register(self) -> None:
         """Register this router in the store whenever it is not registered."""
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -36,6 +36,7 @@
 
     Attributes:
       down: True while every request fails at once.
+      away: True while every request fails at once, for a fault that overlaps ``down``.
       silent: True while requests fail only after a timeout.
       misses_wakeups: True while reads return only after their whole wait, even if
         there are records.
@@ -56,6 +57,7 @@
         # which it was created.
         self._views: dict[str, MemoryStore] = {}
         self.down = False
+        self.away = False
         self.silent = False
         self.misses_wakeups = False
         self.silent_topic: Topic | None = None
@@ -86,6 +88,10 @@
         self._shared.appended.set()
         self._shared.appended = asyncio.Event()
 
+    def records(self, topic: Topic) -> list[tuple[str, bytes | None]]:
+        """Return the records of a topic, from offset 0 on."""
+        return self._shared.records[topic]
+
     def compact(self, topic: Topic) -> None:
         """Make all offsets before the end unreadable, as a compaction would."""
         self._shared.first_offset[topic] = len(self._shared.records[topic])
@@ -94,14 +100,23 @@
         """Return a copy of the store, as the number of records of each topic."""
         return {topic: len(records) for topic, records in self._shared.records.items()}
 
-    def restore(self, copy: dict[Topic, int]) -> None:
-        """Drop what was written since a copy was made; offsets are given out again."""
+    def restore(
+        self, copy: dict[Topic, int]
+    ) -> dict[Topic, list[tuple[str, bytes | None]]]:
+        """Drop what was written since a copy was made, and return it.
+
+        Its offsets are given out again.
+        """
+        lost = {}
         for topic, records in self._shared.records.items():
-            del records[copy.get(topic, 0) :]
+            start = copy.get(topic, 0)
+            lost[topic] = records[start:]
+            del records[start:]
             first = self._shared.first_offset[topic]
             self._shared.first_offset[topic] = min(first, len(records))
         self._shared.era += 1
         self._wake_readers()
+        return lost
 
     async def _raise_if_failing(
         self, topic: Topic | None = None, wait_s: float = 0.0
@@ -110,7 +125,7 @@
         if self._has_fault("silent") or (topic and self.silent_topic is topic):
             await asyncio.sleep(REQUEST_TIMEOUT_S + wait_s)
             raise StoreError("no response from the store")
-        if self._has_fault("down"):
+        if self._has_fault("down") or self._has_fault("away"):
             raise StoreError("the store is down")
         self.era.observe(self._shared.era)
 
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -262,6 +262,7 @@
         start: Position,
         wait_s: float,
         timeout_s: float = MAX_WAIT_S + RESPONSE_TIMEOUT_S,
+        max_age_s: float | None = None,
     ) -> Page:
         """Return the newest record of each key from a position on.
 
@@ -273,6 +274,8 @@
           start: Position from which to read.
           wait_s: Maximum time to wait for a record.
           timeout_s: Upper limit of the time until the response begins.
+          max_age_s: Maximum time since the peer read the topic from the store; None for
+            that of the topic.
         """
         wait_s = min(wait_s, MAX_WAIT_S)
         target = (
@@ -287,7 +290,9 @@
         except (msgspec.DecodeError, zlib.error) as exc:
             raise StoreError(f"the peer's response cannot be decoded ({exc})") from exc
         self.era.observe(response.era)
-        if response.age_s >= MAX_RECORD_AGE_S[topic]:
+        if max_age_s is None:
+            max_age_s = MAX_RECORD_AGE_S[topic]
+        if response.age_s >= max_age_s:
             raise StalePeerError(f"the peer read the store {response.age_s:.1f} s ago")
         return Page(
             records,
--- a/cranberrysail/router/recordcache.py
+++ b/cranberrysail/router/recordcache.py
@@ -110,6 +110,13 @@
         if previous is not None:
             previous.wake_readers()
 
+    def replace(self, topic: Topic, key: str, value: bytes) -> None:
+        """Replace a record by one that was applied, but not read with its offset."""
+        cached = self._topics.get(topic)
+        if cached is not None:
+            cached.records.pop(key, None)
+            cached.records[key] = (cached.next_offset, value)
+
     def extend(
         self,
         topic: Topic,
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -81,7 +81,9 @@
     _clients: dict[str, PeerStore] = field(default_factory=dict)
     _backoffs: dict[str, _Backoff] = field(default_factory=dict)
 
-    async def read_snapshot(self, topic: Topic, min_position: Position) -> Page:
+    async def read_snapshot(
+        self, topic: Topic, min_position: Position, recent_offset: int | None = None
+    ) -> Page:
         """Return the newest record of each key.
 
         Asks peers first, since they compress the records. The store does not, and a
@@ -91,6 +93,9 @@
           topic: The topic.
           min_position: Position up to which records have been applied; a snapshot that
             ends before it is ignored.
+          recent_offset: Offset before all records that a restored store may have been
+            given again. They are read, too, since an older record may be written again
+            behind a newer one of its key, which a snapshot then lacks.
 
         Raises:
           StoreError: If no source returns a usable response.
@@ -108,6 +113,8 @@
         try:
             page = await self.store.read_snapshot(topic)
             self._raise_if_outdated(page)
+            if recent_offset is not None and page.era > min_position.era:
+                page = await self._add_recent(topic, page, recent_offset)
         except EraChangedError:
             raise
         except StoreError as exc:
@@ -126,11 +133,17 @@
         return any(self._backoffs[a].outdated for a in addresses if a in self._backoffs)
 
     async def _read_peer_snapshot(
-        self, topic: Topic, min_position: Position, peers: list[RegisteredRouter]
+        self,
+        topic: Topic,
+        min_position: Position,
+        peers: list[RegisteredRouter],
+        max_age_s: float | None = None,
     ) -> Page | None:
         start = Position(self.store.era.number, 0)
         for peer in peers:
-            page = await self._read_peer(peer, topic, start, 0.0, RESPONSE_TIMEOUT_S)
+            page = await self._read_peer(
+                peer, topic, start, 0.0, RESPONSE_TIMEOUT_S, max_age_s
+            )
             if (
                 page is not None
                 and page.is_snapshot
@@ -139,6 +152,30 @@
                 return page
         return None
 
+    async def read_peer_snapshot(self, topic: Topic) -> Page | None:
+        """Return a peer's snapshot, however old, or None if no peer responds."""
+        return await self._read_peer_snapshot(
+            topic, Position(0, 0), self.routers.fallback_peers(), float("inf")
+        )
+
+    async def _add_recent(self, topic: Topic, snapshot: Page, offset: int) -> Page:
+        """Return a snapshot with earlier records of its keys before the newest ones."""
+        keys = {key for key, _ in snapshot.records}
+        recent: list[tuple[str, bytes | None]] = []
+        while offset < snapshot.next_offset:
+            try:
+                page = await self.store.read(topic, offset, 0.0)
+            except OffsetOutOfRangeError as exc:
+                self.log.write("recent_not_read", topic=topic.value, why=str(exc))
+                break
+            if page.era != snapshot.era:
+                raise EraChangedError(f"the store is in its era {page.era}")
+            if page.next_offset == offset:
+                break
+            recent += [(k, v) for k, v in page.records if v is not None and k in keys]
+            offset = page.next_offset
+        return replace(snapshot, records=(*recent, *snapshot.records))
+
     def _raise_if_outdated(self, page: Page) -> None:
         if page.era < self.store.era.number:
             raise StoreError(
@@ -235,6 +272,7 @@
         start: Position,
         wait_s: float,
         timeout_s: float,
+        max_age_s: float | None = None,
     ) -> Page | None:
         """Return a peer's page; None if it has no usable response."""
         backoff = self._backoffs.setdefault(peer.address, _Backoff())
@@ -242,7 +280,7 @@
             return None
         client = self._clients.setdefault(peer.address, PeerStore(peer.address))
         try:
-            page = await client.read(topic, start, wait_s, timeout_s)
+            page = await client.read(topic, start, wait_s, timeout_s, max_age_s)
             self.store.era.observe(page.era)
             backoff.outdated = page.era < self.store.era.number
             if backoff.outdated:
--- a/tests/router/randomscenario.py
+++ b/tests/router/randomscenario.py
@@ -13,6 +13,7 @@
 CALLS_PER_S = 30.0
 # Limits that the users require.
 MAX_DRAIN_DELAY_S = 2.0
+STABILITY_WINDOW_S = 3.0
 MAX_TABLES_DELAY_S = 2.0
 STORE_RECOVERY_S = 3.0
 MAX_COLD_CALLS_PER_S = 10.0 * 1.5 + 5
@@ -41,6 +42,16 @@
     worker: str
     customer: str
     cold: bool
+    incarnation: int
+
+
+@dataclass
+class Drain:
+    """The start of a worker's drain."""
+
+    at_s: float
+    worker: str
+    incarnation: int
 
 
 @dataclass
@@ -52,7 +63,10 @@
       cold_until: Time until which each worker is cold.
       customers_by_key: Names of customers by API key.
       violations: Violated invariants, with the observed values.
-      store_fault_s: Time of the last fault of the store.
+      drains: Drains of all workers.
+      restoring: True while records that a restore lost may be hidden by older ones.
+      starts: Time and name of each start of a router.
+      store_faults_s: Times at which the store had a fault, each 0.1 s.
       versions: Version of the tables last seen at each router.
       published: Times and versions of published tables.
     """
@@ -67,7 +81,10 @@
         default_factory=lambda: {"k1": "guide", "k2": "soci"}
     )
     violations: list[str] = field(default_factory=list)
-    store_fault_s: float = 0.0
+    drains: list[Drain] = field(default_factory=list)
+    restoring: bool = False
+    starts: list[tuple[float, str]] = field(default_factory=list)
+    store_faults_s: list[float] = field(default_factory=lambda: [0.0])
     version: int = 1
     versions: dict[str, int] = field(default_factory=dict)
     published: list[tuple[float, int]] = field(default_factory=list)
@@ -96,7 +113,7 @@
         cold = self.now() < self.cold_until.get(worker.name, 0.0)
         customer = received.headers.get("cranberrysail-tenant", "")
         self.executions.append(
-            Execution(self.now(), attempt, worker.name, customer, cold)
+            Execution(self.now(), attempt, worker.name, customer, cold, worker.born)
         )
         await asyncio.sleep(self.rng.choice((0.02, 0.05, 0.1)))
         if draw < 0.05:
@@ -246,14 +263,54 @@
             view = self.rng.choice([store, *map(store.view_for, ROUTERS)])
             fault = self.rng.choice(("down", "silent", "misses_wakeups"))
             setattr(view, fault, True)
-            until_s = self.now() + self.rng.uniform(0.5, 5.0)
-            while self.now() < until_s:
-                self.store_fault_s = self.now()
-                await asyncio.sleep(0.1)
+            await self.note_store_fault(self.rng.uniform(0.5, 5.0))
             setattr(view, fault, False)
-            if self.rng.random() < 0.4:
+            if self.rng.random() < 0.4 and not self.restoring:
                 store.compact(self.rng.choice((Topic.ENDPOINTS, Topic.OPERATORS)))
-                self.store_fault_s = self.now()
+                self.store_faults_s.append(self.now())
+
+    async def note_store_fault(self, duration_s: float) -> None:
+        until_s = self.now() + duration_s
+        while self.now() < until_s:
+            self.store_faults_s.append(self.now())
+            await asyncio.sleep(0.1)
+
+    async def restore_store(self) -> None:
+        """Restore the store from a copy; what it lost is written again later."""
+        store = self.world.store
+        while True:
+            await asyncio.sleep(self.rng.uniform(4.0, 12.0))
+            copy = store.copy()
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            store.away = True
+            await self.note_store_fault(self.rng.uniform(0.1, 1.0))
+            lost = store.restore(copy)
+            self.restoring = True
+            # At times routers see the store only once there are records in the place
+            # of the lost ones.
+            sees_loss = self.rng.random() < 0.5
+            store.away = not sees_loss
+            await self.note_store_fault(self.rng.uniform(0.1, 1.8))
+            if not sees_loss:
+                self.publish_tables()
+            store.away = False
+            for topic in (Topic.OPERATORS, Topic.ENDPOINTS):
+                self.write_again(topic, copy, lost[topic])
+            await self.note_store_fault(1.0)
+            self.restoring = False
+            self.store_faults_s.append(self.now())
+
+    def write_again(self, topic: Topic, copy, lost) -> None:
+        """Write lost records again, also behind newer ones of their key.
+
+        Removals and zones, which tell nothing of their order, are not written behind.
+        """
+        start = copy.get(topic, 0)
+        written = {key for key, _ in self.world.store.records(topic)[start:]}
+        for key, value in lost:
+            ordered = value is not None and not key.startswith("evacuate/")
+            if ordered or key not in written:
+                self.world.store.append(topic, key, value)
 
     async def inject_worker_faults(self) -> None:
         """Drain or crash workers and restart them cold."""
@@ -267,6 +324,7 @@
                 worker.state = "draining"
                 self.world.write_declaration(worker)
                 self.stopped_at_s[name] = self.now()
+                self.drains.append(Drain(self.now(), name, worker.born))
                 self.tasks.append(asyncio.ensure_future(self.finish_drain(name)))
             else:
                 self.stopped_at_s[name] = self.now() + SCENARIO_S
@@ -289,15 +347,19 @@
     async def publish_changes(self) -> None:
         """Publish tables, and take a zone out of service and back."""
         while True:
-            await asyncio.sleep(self.rng.uniform(2.0, 6.0))
-            self.version += self.rng.randint(1, 3)
-            self.world.write_config(self.document())
-            self.published.append((self.now(), self.version))
+            # Tables that are missed show only if none follow soon.
+            await asyncio.sleep(self.rng.choice((self.rng.uniform(0.2, 4.0), 10.0)))
+            self.publish_tables()
             if self.rng.random() < 0.3:
                 self.world.store.append(Topic.OPERATORS, "evacuate/b", b"{}")
                 await asyncio.sleep(2.0)
                 self.world.store.append(Topic.OPERATORS, "evacuate/b", None)
 
+    def publish_tables(self) -> None:
+        self.version += self.rng.randint(1, 3)
+        self.world.write_config(self.document())
+        self.published.append((self.now(), self.version))
+
     def document(self) -> dict:
         tenants = [
             {"name": name, "api_keys": [key], "priority": 1}
@@ -317,6 +379,7 @@
             self.world.kill(router, ROUTERS[name])
             self.versions.pop(name, None)
             await asyncio.sleep(0.5)
+            self.starts.append((self.now(), name))
             await self.world.start_router(0.0, name, ROUTERS[name])
 
     async def monitor_tables(self) -> None:
@@ -335,7 +398,8 @@
         due = [
             v for at_s, v in self.published if at_s < self.now() - MAX_TABLES_DELAY_S
         ]
-        stable = self.now() - self.store_fault_s > STORE_RECOVERY_S + MAX_TABLES_DELAY_S
+        since_fault_s = self.now() - self.store_faults_s[-1]
+        stable = since_fault_s > STORE_RECOVERY_S + MAX_TABLES_DELAY_S
         if stable and version and due and version < due[-1]:
             self.violations.append(
                 f"{name} still has tables {version}, {due[-1]} is due"
@@ -345,6 +409,8 @@
 
     async def run(self) -> "RandomScenario":
         """Run the scenario and check the invariants."""
+        # Delays of the routers are random, too.
+        random.seed(self.seed)
         world = self.world
         world.write_config(self.document())
         for number in range(6):
@@ -356,6 +422,7 @@
         activities = [
             self.generate_load(),
             self.inject_store_faults(),
+            self.restore_store(),
             self.inject_worker_faults(),
             self.publish_changes(),
             self.restart_routers(),
@@ -381,6 +448,33 @@
         for execution in self.executions:
             self.check_execution(execution, by_attempt)
         self.check_cold()
+        for drain in self.drains:
+            self.check_drain(drain, by_attempt)
+
+    def check_drain(self, drain: Drain, by_attempt: dict[str, SentCall]) -> None:
+        """Check that routers which could read of a drain sent nothing after it."""
+        if any(
+            -STABILITY_WINDOW_S <= at_s - drain.at_s <= MAX_DRAIN_DELAY_S
+            for at_s in self.store_faults_s
+        ):
+            return
+        for execution in self.executions:
+            sent = by_attempt.get(execution.attempt)
+            if (
+                sent is None
+                or execution.worker != drain.worker
+                or execution.incarnation != drain.incarnation
+                or sent.sent_s < drain.at_s + MAX_DRAIN_DELAY_S
+            ):
+                continue
+            known = not any(
+                name == sent.router and drain.at_s < at_s < execution.at_s
+                for at_s, name in self.starts
+            )
+            if known:
+                self.violations.append(
+                    f"{execution.attempt} ran at {drain.worker}, which was draining"
+                )
 
     def check_response(self, sent: SentCall, executions: int) -> None:
         body = sent.data.partition(b"\r\n\r\n")[2]
--- a/tests/router/test_random_scenario.py
+++ b/tests/router/test_random_scenario.py
@@ -7,9 +7,11 @@
 from cranberrysail.platform.headers import PlatformHeaderCodec
 from cranberrysail.router import callhandler
 from cranberrysail.router.coldlimit import ColdLimiter
+from cranberrysail.router.endpoints import EndpointDirectory
 from cranberrysail.router.follower import RoutingState
 from cranberrysail.router.headercodec import ResponseHead
 from cranberrysail.router.httpclient import HttpClientConn
+from cranberrysail.router.memorystore import MemoryStore
 from cranberrysail.router.outcome import NextStep
 from cranberrysail.router.sse import EventSplitter
 from tests.router.randomscenario import RandomScenario
@@ -30,8 +32,8 @@
     assert served > len(scenario.sent_calls) / 2
 
 
-def has_violation(text):
-    scenario = run_scenario(1)
+def has_violation(text, seed=1):
+    scenario = run_scenario(seed)
     return any(text in entry for entry in scenario.violations)
 
 
@@ -92,3 +94,27 @@
 
     monkeypatch.setattr(RoutingState, "_apply_tables", apply_first_only)
     assert has_violation("is due")
+
+
+def test_check_detects_calls_to_a_draining_endpoint(monkeypatch):
+    def with_draining(self, service):
+        return [
+            e
+            for e in self
+            if e.record.service == service and e.record.zone not in self.zones_out
+        ]
+
+    monkeypatch.setattr(EndpointDirectory, "usable", with_draining)
+    assert has_violation("which was draining")
+
+
+def test_check_detects_offsets_of_an_earlier_era(monkeypatch):
+    original = MemoryStore.restore
+
+    def restore_without_era(self, copy):
+        lost = original(self, copy)
+        self._shared.era = 1
+        return lost
+
+    monkeypatch.setattr(MemoryStore, "restore", restore_without_era)
+    assert has_violation("is due", seed=4)
--- a/tests/router/test_restored_store.py
+++ b/tests/router/test_restored_store.py
@@ -169,8 +169,8 @@
         for _ in range(80):
             await asyncio.sleep(0.1)
             sizes.append(at_all(world, lambda r: len(r.routers)))
-        listed = {key for key, _ in world.store._shared.records[Topic.ROUTERS]}
-        return set(sizes), listed, len(world.store._shared.records[Topic.ROUTERS])
+        listed = {key for key, _ in world.store.records(Topic.ROUTERS)}
+        return set(sizes), listed, len(world.store.records(Topic.ROUTERS))
 
     sizes, listed, writes = run_fleet(main)
     assert sizes == {3}
@@ -233,6 +233,61 @@
     assert run_fleet(main) == [9, 9]
 
 
+def test_older_tables_written_again_behind_newer_ones_do_not_hide_them():
+    async def main(world):
+        copy = world.store.copy()
+        world.write_config(make_config(2))
+        await asyncio.sleep(1.0)
+        world.store.down = True
+        await asyncio.sleep(0.5)
+        world.store.restore(copy)
+        world.write_config(make_config(3))
+        world.write_config(make_config(2))
+        world.store.down = False
+        await asyncio.sleep(2.0)
+        return tables(world)
+
+    assert run_fleet(main) == 3
+
+
+def test_older_declaration_written_again_behind_a_draining_one_does_not_hide_it():
+    async def main(world):
+        worker = world.workers["p0"]
+        copy = world.store.copy()
+        ready = worker.next_declaration()
+        world.store.append(Topic.ENDPOINTS, "p0", ready)
+        await asyncio.sleep(1.0)
+        world.store.down = True
+        await asyncio.sleep(0.5)
+        world.store.restore(copy)
+        worker.state = "draining"
+        world.write_declaration(worker)
+        world.store.append(Topic.ENDPOINTS, "p0", ready)
+        world.store.down = False
+        await asyncio.sleep(2.0)
+        return usable(world)
+
+    assert run_fleet(main) == ["p1"]
+
+
+def test_endpoint_that_restarted_lately_is_kept_through_a_restore():
+    async def main(world):
+        world.store.append(Topic.ENDPOINTS, "p1", None)
+        await asyncio.sleep(1.0)
+        worker = world.workers["p1"]
+        worker.born, worker.sequence = 2, 0
+        world.write_declaration(worker)
+        await asyncio.sleep(2.0)
+        await restore(world, world.store.copy())
+        seen = set()
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            seen.add(str(usable(world)))
+        return seen
+
+    assert run_fleet(main) == {"['p0', 'p1']"}
+
+
 def test_store_that_is_restored_twice_is_followed():
     async def main(world):
         for number in range(2):
--- a/tests/router/test_tables_in_force.py
+++ b/tests/router/test_tables_in_force.py
@@ -156,3 +156,19 @@
         return await measure_delays(world, 2, others)
 
     assert max(run_fleet(main)) <= MAX_DELAY_S
+
+
+def test_router_that_starts_after_a_late_write_of_older_tables_has_the_newest():
+    async def main(world):
+        world.write_config(make_config(9))
+        await asyncio.sleep(0.5)
+        world.write_config(make_config(4))
+        world.kill(world.routers["r3"], HOSTS["r3"])
+        await asyncio.sleep(0.5)
+        await world.start_router(0.0, "r3", HOSTS["r3"])
+        delays_s = await measure_delays(world, 9, ["r3"])
+        world.kill(world.routers["r1"], HOSTS["r1"])
+        await world.start_router(0.0, "r1", HOSTS["r1"])
+        return delays_s + await measure_delays(world, 9, ["r1"])
+
+    assert max(run_fleet(main)) <= MAX_DELAY_S
