Give up messages without end: heads, interim responses, chunk lines, trailers

One meter counts what of a message is not its body: 128 KB, and 8 bytes for each byte of the body. Past it the connection is closed and the attempt ends as an invalid response, so that another endpoint is tried where that is allowed; a caller gets 431. What follows a complete response closes its connection at once; a response to another request is discarded up to 256 KB. A body of the store or a peer takes 8 MB and 10 s at most (64 MB and no end before), a peer's page 16 MB unpacked, the other data path's log and list of hosts 16 MB. All listeners and clients of both data paths share the two protocol classes that changed.

--- a/cranberrysail/links/webclient.py
+++ b/cranberrysail/links/webclient.py
@@ -10,7 +10,7 @@
 
 __all__ = ["WebClient", "WebResponse"]
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
 DEFAULT_PORTS = {"http": 80, "https": 443}
 # Idle time after which a connection is not used again; servers keep idle connections
 # open for at least five seconds.
--- a/cranberrysail/router/bodyframing.py
+++ b/cranberrysail/router/bodyframing.py
@@ -6,6 +6,8 @@
     "BODILESS_STATUSES",
     "FRAMING_HEADERS",
     "BodyFraming",
+    "MessageTooLongError",
+    "OverheadMeter",
     "UnsupportedCodingError",
     "response_framing",
 ]
@@ -17,6 +19,53 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+# Limit on the bytes of a message besides its body: head, interim responses, lines of
+# chunks, trailers, and empty lines before it.
+MAX_OVERHEAD_BYTES = 128 * 1024
+# Further bytes of overhead allowed for each byte of the body; a chunk of a single byte
+# has five.
+OVERHEAD_PER_BODY_BYTE = 8
+
+
+class MessageTooLongError(ValueError):
+    """A message has more bytes besides its body than it may have."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(
+            f"{size} bytes besides the body exceed the limit of {MAX_OVERHEAD_BYTES}"
+        )
+
+
+class OverheadMeter:
+    """Counts the bytes of one message that are not part of its body.
+
+    Parsers accept any number of them, and a message of which no end is received would
+    be read for as long as its sender sends.
+    """
+
+    def __init__(self) -> None:
+        self._received = 0
+        self._body = 0
+
+    def add_received(self, size: int) -> None:
+        """Count bytes that were received, of whatever kind."""
+        self._received += size
+
+    def add_body(self, size: int) -> None:
+        """Count bytes that turned out to be part of a body."""
+        self._body += size
+
+    def check(self) -> None:
+        """Check the limit.
+
+        Raises:
+          MessageTooLongError: If it is exceeded.
+        """
+        overhead = self._received - self._body
+        if overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * self._body:
+            raise MessageTooLongError(overhead)
+
+
 class BodyFraming(StrEnum):
     """What delimits a response body.
 
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -12,6 +12,8 @@
 from cranberrysail.router.bodyframing import (
     FRAMING_HEADERS,
     BodyFraming,
+    MessageTooLongError,
+    OverheadMeter,
     UnsupportedCodingError,
     response_framing,
 )
@@ -23,6 +25,8 @@
 HIGH_WATER_BYTES = 64 * 1024
 # Response headers beyond this number are ignored, but those that delimit the body.
 MAX_HEADERS = 128
+# Limit on the bodies of responses to other requests, which are discarded.
+MAX_DISCARDED_BYTES = 256 * 1024
 # A connection whose data stays unacknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 1000
 # An idle connection is probed after one second, and closed one second later if there
@@ -79,6 +83,8 @@
         self._parsed_headers: list[tuple[bytes, bytes]] = []
         self._match: ResponseMatcher | None = None
         self._bodiless = False
+        self._overhead = OverheadMeter()
+        self._discarded_bytes = 0
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.framing = BodyFraming.NONE
@@ -95,14 +101,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; unsolicited data closes the connection."""
-        if not self._busy:
+        if not self._busy or self.complete:
             self.close()
             return
+        self._overhead.add_received(len(data))
         try:
             self._parser.feed_data(data)
+            if not self.complete:
+                self._overhead.check()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(f"invalid HTTP response ({type(exc).__name__})")
             self.close()
+        except MessageTooLongError as exc:
+            self._fail(f"invalid HTTP response ({exc})")
+            self.close()
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -172,7 +184,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading at the high-water mark."""
+        self._overhead.add_body(len(body))
         if self._skipping:
+            self._discard(len(body))
             return
         if self.complete:
             self.reusable = False
@@ -185,6 +199,15 @@
             self._transport.pause_reading()
         self._wake()
 
+    def _discard(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail(
+                "a response to another request exceeds the limit of "
+                f"{MAX_DISCARDED_BYTES} bytes"
+            )
+            self.close()
+
     def on_message_complete(self) -> None:
         """Complete a response that has a length or is chunked."""
         if self._skipping:
@@ -265,6 +288,8 @@
         self._match = match
         self._bodiless = bodiless
         self._busy = True
+        self._overhead = OverheadMeter()
+        self._discarded_bytes = 0
         self.status = 0
         self.headers = []
         self.framing = BodyFraming.NONE
--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -10,7 +10,11 @@
 
 import httptools
 
-from cranberrysail.router.bodyframing import BODILESS_STATUSES
+from cranberrysail.router.bodyframing import (
+    BODILESS_STATUSES,
+    MessageTooLongError,
+    OverheadMeter,
+)
 from cranberrysail.router.clock import now
 from cranberrysail.router.model import CallerLimits
 
@@ -209,6 +213,7 @@
         self._queue: deque[HttpRequest] = deque()
         self._request: HttpRequest | None = None
         self._head_bytes_read = 0
+        self._overhead = OverheadMeter()
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
         self._reading_head = True
@@ -270,10 +275,14 @@
             ):
                 self._reject(431, "headers_too_large")
                 return
+        self._overhead.add_received(len(data))
         try:
             self._parser.feed_data(data)
+            self._overhead.check()
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400, "bad_request")
+        except MessageTooLongError:
+            self._reject(431, "headers_too_large")
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -315,6 +324,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; reject one that is too large."""
+        self._overhead.add_body(len(body))
         if self._ignores_requests:
             return
         self._body_chunks.append(body)
@@ -327,6 +337,7 @@
         if self._ignores_requests:
             return
         request, self._request = self._request, None
+        self._overhead = OverheadMeter()
         self._reading_head = True
         request.body = b"".join(self._body_chunks)
         self._body_chunks = []
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -13,11 +13,12 @@
 Headers = list[tuple[bytes, bytes]]
 
 # Maximum size of a response. The records of thousands of endpoints take a few
-# megabytes.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-# Maximum time without data while a response arrives. The whole response has no
-# time limit, since large tables take seconds on a link of a few Mbit/s.
+# megabytes, and a router may use 32 MB for all of its control traffic.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Maximum time without data while a response arrives.
 READ_TIMEOUT_S = 0.6
+# Maximum time for a whole body. Large tables take seconds on a link of a few Mbit/s.
+BODY_TIMEOUT_S = 10.0
 # HTTP status if the requested records have been dropped, or are not cached by a peer.
 STATUS_GONE = 410
 
@@ -80,12 +81,13 @@
             async with asyncio.timeout(timeout_s):
                 conn = await self._send(channel, method, target, body)
             self._on_headers(conn.headers)
-            return await self._read_body(conn)
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                return await self._read_body(conn)
         except TimeoutError as exc:
             self._discard(channel)
             raise StoreError(
                 f"no response within {timeout_s:.1f} s, or it stopped for "
-                f"{READ_TIMEOUT_S} s"
+                f"{READ_TIMEOUT_S} s or did not end within {BODY_TIMEOUT_S:.0f} s"
             ) from exc
         except UpstreamError as exc:
             self._discard(channel)
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -60,6 +60,8 @@
 COMPRESSION_MIN_BYTES = 1024
 # First byte of zlib data; a msgpack-encoded list of records starts with another.
 ZLIB_HEADER = b"\x78"
+# Maximum size of an unpacked page.
+MAX_UNPACKED_BYTES = 16 * 1024 * 1024
 Records = tuple[tuple[str, bytes | None], ...]
 BINARY_HEADERS = [(b"content-type", b"application/octet-stream")]
 
@@ -337,7 +339,10 @@
 
 def _decode(data: bytes) -> Records:
     if data[:1] == ZLIB_HEADER:
-        data = zlib.decompress(data)
+        unpacker = zlib.decompressobj()
+        data = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+        if not unpacker.eof:
+            raise zlib.error(f"cut, or more than {MAX_UNPACKED_BYTES} bytes")
     return msgspec.msgpack.decode(data, type=Records)
 
 
