--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -76,6 +76,7 @@
     routers: RouterDirectory
     log: DecisionLog
     store_last_read_s: dict[Topic, float] = field(default_factory=dict)
+    _store_failing: bool = False
     _store_retry_at_s: float = 0.0
     _store_read_started_s: dict[Topic, float] = field(default_factory=dict)
     _clients: dict[str, PeerStore] = field(default_factory=dict)
@@ -222,11 +223,14 @@
             if page is not None:
                 return page
         try:
-            return await self._read_store(topic, start, wait_s)
+            # A store that failed is only probed, as a waiting read would not tell.
+            store_wait_s = 0.0 if self._store_failing else wait_s
+            return await self._read_store(topic, start, store_wait_s)
         except (OffsetOutOfRangeError, EraChangedError):
             raise
         except StoreError as exc:
             self.log.write("store_failed", topic=topic.value, why=str(exc))
+            self._store_failing = True
             self._store_retry_at_s = now() + STORE_RETRY_S
             page = await self._read_fallback_peers(topic, start, wait_s)
             if page is None:
@@ -244,6 +248,7 @@
         if page.era > start.era:
             raise EraChangedError(f"the store is in its era {page.era}")
         self.store_last_read_s[topic] = now()
+        self._store_failing = False
         return page
 
     async def _read_fallback_peers(
--- a/tests/router/test_tables_in_force.py
+++ b/tests/router/test_tables_in_force.py
@@ -1,6 +1,7 @@
 """Tables that the store has confirmed are in force in time, whatever else happens."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -8,12 +9,14 @@
 from tests.router.simulatedfleet import SimulatedFleet, make_config, plain_answer
 from tests.router.virtualloop import run_virtual
 
-HOSTS = {"r1": "10.0.0.1", "r2": "10.0.0.2", "r3": "10.0.0.3"}
-# Time that the users allow.
+HOSTS = {f"r{number}": f"10.0.0.{number}" for number in range(1, 5)}
+NAMES = ("r1", "r2", "r3")
+# Time that the users allow, and that while the store turns some routers away.
 MAX_DELAY_S = 2.0
+MAX_PARTIAL_OUTAGE_DELAY_S = MAX_DELAY_S + 5.0
 
 
-def run_fleet(scenario, names=tuple(HOSTS)):
+def run_fleet(scenario, names=NAMES):
     async def main(loop):
         world = SimulatedFleet(loop)
         world.write_config(make_config())
@@ -123,7 +126,7 @@
         for number in range(2 + lost, newest + 1):
             world.write_config(make_config(number))
         world.store.down = False
-        return await measure_delays(world, newest, list(HOSTS))
+        return await measure_delays(world, newest, NAMES)
 
     assert max(run_fleet(main)) <= MAX_DELAY_S
 
@@ -172,3 +175,20 @@
         return delays_s + await measure_delays(world, 9, ["r1"])
 
     assert max(run_fleet(main)) <= MAX_DELAY_S
+
+
+@pytest.mark.parametrize("phase", range(5))
+def test_router_without_the_store_is_not_delayed_by_hosts_that_freeze(phase):
+    async def main(world):
+        cut_off = routers_by_rank(world)[0]
+        peers = world.routers[cut_off].routers.fallback_peers()
+        frozen = [peer.name for peer in peers[:2]]
+        world.store.view_for(cut_off).silent = True
+        await asyncio.sleep(6.0 + phase / 5)
+        for name in frozen:
+            stop_responding(world, HOSTS[name])
+        world.write_config(make_config(2))
+        return await measure_delays(world, 2, [cut_off])
+
+    random.seed(phase)
+    assert max(run_fleet(main, tuple(HOSTS))) <= MAX_PARTIAL_OUTAGE_DELAY_S
