Read what a restored store was given again also if earlier history was dropped

The first offset that is left is read from now on; test_older_tables_do_not_hide_newer_ones_if_earlier_history_was_dropped failed before.

--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -45,6 +45,16 @@
     value: str | None = None
 
 
+class _Gone(msgspec.Struct):
+    """The response to a read of records that have been dropped.
+
+    Attributes:
+      first: The first offset that is retained.
+    """
+
+    first: int | None = None
+
+
 class _NewestPage(msgspec.Struct):
     """A page of ``log-newest``.
 
@@ -158,16 +168,20 @@
             f"/v1/log-read?topic={TOPIC_NAMES[topic]}&part=0&from={start}"
             f"&max_kb={MAX_READ_KB}&wait_ms={int(wait_s * 1000)}"
         )
-        response = await self._http.request(
-            topic.value, "GET", query, b"", RESPONSE_TIMEOUT_S + wait_s
-        )
+        try:
+            response = await self._http.request(
+                topic.value, "GET", query, b"", RESPONSE_TIMEOUT_S + wait_s
+            )
+        except OffsetOutOfRangeError as exc:
+            raise OffsetOutOfRangeError(str(exc), _decode_first(exc.body)) from exc
         body = response.body
         if len(body) < OFFSETS_BYTES:
             raise StoreError("the store's response is truncated; read again")
         end, first = struct.unpack_from(">QQ", body)
         if not first <= start <= end:
             raise OffsetOutOfRangeError(
-                f"offset {start} is not between {first} and {end}; read a snapshot"
+                f"offset {start} is not between {first} and {end}; read a snapshot",
+                first,
             )
         records = decode_records(body[OFFSETS_BYTES:])
         count = _count_records(body[OFFSETS_BYTES:])
@@ -188,6 +202,13 @@
         self._http.close()
 
 
+def _decode_first(body: bytes) -> int | None:
+    try:
+        return msgspec.json.decode(body, type=_Gone).first
+    except msgspec.DecodeError:
+        return None
+
+
 def _decode_value(item: _Item) -> bytes | None:
     if not item.value:
         return None
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -123,7 +123,7 @@
         conn.mark_idle()
         if conn.status == STATUS_GONE:
             raise OffsetOutOfRangeError(
-                "the requested records have been dropped; read a snapshot"
+                "the requested records have been dropped; read a snapshot", body=data
             )
         if conn.status != 200:
             raise StoreError(
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -143,7 +143,7 @@
         era = self._shared.era
         first, end = self._shared.first_offset[topic], len(self._shared.records[topic])
         if not first <= start <= end:
-            raise OffsetOutOfRangeError(f"there is no offset {start}")
+            raise OffsetOutOfRangeError(f"there is no offset {start}", first)
         try:
             async with asyncio.timeout(wait_s):
                 while (
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -167,6 +167,9 @@
             try:
                 page = await self.store.read(topic, offset, 0.0)
             except OffsetOutOfRangeError as exc:
+                if exc.first is not None and exc.first > offset:
+                    offset = exc.first
+                    continue
                 self.log.write("recent_not_read", topic=topic.value, why=str(exc))
                 break
             if page.era != snapshot.era:
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -43,7 +43,19 @@
 
 
 class OffsetOutOfRangeError(StoreError):
-    """The records from an offset on are not available; read a snapshot instead."""
+    """The records from an offset on are not available; read a snapshot instead.
+
+    Attributes:
+      first: Offset from which on records are available, None if not known.
+      body: Body of the response that said so.
+    """
+
+    def __init__(
+        self, message: str, first: int | None = None, body: bytes = b""
+    ) -> None:
+        super().__init__(message)
+        self.first = first
+        self.body = body
 
 
 class EraChangedError(StoreError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -300,3 +300,18 @@
             await PlatformStore("10.9.0.1:80").read_snapshot(Topic.OPERATORS)
 
     run_virtual(main)
+
+
+@pytest.mark.parametrize(
+    ("response", "first"),
+    [
+        ((410, b'{"first":7}'), 7),
+        ((410, b"{}"), None),
+        ((410, b"gone"), None),
+        ((200, struct.pack(">QQ", 9, 7)), 7),
+    ],
+)
+def test_dropped_records_tell_the_first_that_is_left(response, first):
+    with pytest.raises(OffsetOutOfRangeError) as caught:
+        call_store(lambda *_: response, lambda s: s.read(Topic.ENDPOINTS, 4, 0.0))
+    assert caught.value.first == first
--- a/tests/router/test_restored_store.py
+++ b/tests/router/test_restored_store.py
@@ -250,6 +250,26 @@
     assert run_fleet(main) == 3
 
 
+def test_older_tables_do_not_hide_newer_ones_if_earlier_history_was_dropped():
+    async def main(world):
+        world.write_config(make_config(2))
+        await asyncio.sleep(1.0)
+        copy = world.store.copy()
+        world.store.compact(Topic.OPERATORS)
+        world.write_config(make_config(3))
+        await asyncio.sleep(1.0)
+        world.store.down = True
+        await asyncio.sleep(0.5)
+        world.store.restore(copy)
+        world.write_config(make_config(4))
+        world.write_config(make_config(3))
+        world.store.down = False
+        await asyncio.sleep(2.0)
+        return tables(world)
+
+    assert run_fleet(main) == 4
+
+
 def test_older_declaration_written_again_behind_a_draining_one_does_not_hide_it():
     async def main(world):
         worker = world.workers["p0"]
