--- a/tests/router/test_tables_in_force.py
+++ b/tests/router/test_tables_in_force.py
@@ -131,24 +131,44 @@
     assert max(run_fleet(main)) <= MAX_DELAY_S
 
 
+async def freeze_two(world, phase):
+    """Freeze the two routers that the last one reads from; return its name."""
+    *frozen, last = routers_by_rank(world)
+    # Meanwhile the last router also connects to the second.
+    world.store.view_for(frozen[0]).silent = True
+    await asyncio.sleep(4.0)
+    world.store.view_for(frozen[0]).silent = False
+    await asyncio.sleep(4.0 + phase / 10)
+    for name in frozen:
+        stop_responding(world, HOSTS[name])
+    await asyncio.sleep(0.01)
+    return last
+
+
 @pytest.mark.parametrize("phase", range(10))
 def test_two_hosts_that_freeze_do_not_delay_tables_of_the_third(phase):
     async def main(world):
-        *frozen, last = routers_by_rank(world)
-        # Meanwhile the last router also connects to the second.
-        world.store.view_for(frozen[0]).silent = True
-        await asyncio.sleep(4.0)
-        world.store.view_for(frozen[0]).silent = False
-        await asyncio.sleep(4.0 + phase / 10)
-        for name in frozen:
-            stop_responding(world, HOSTS[name])
-        await asyncio.sleep(0.01)
+        last = await freeze_two(world, phase)
         world.write_config(make_config(2))
         return await measure_delays(world, 2, [last])
 
     assert max(run_fleet(main)) <= MAX_DELAY_S
 
 
+@pytest.mark.parametrize("phase", range(10))
+def test_two_hosts_that_freeze_do_not_delay_a_drain_at_the_third(phase):
+    async def main(world):
+        router = world.routers[await freeze_two(world, phase)]
+        started_s = world.loop.time()
+        world.workers["p0"].state = "draining"
+        world.write_declaration(world.workers["p0"])
+        while len(router.endpoints.usable("plain")) > 1:
+            await asyncio.sleep(0.01)
+        return world.loop.time() - started_s
+
+    assert run_fleet(main) <= MAX_DELAY_S
+
+
 @pytest.mark.parametrize("phase", range(10))
 def test_peer_that_reads_other_records_only_does_not_delay_tables(phase):
     async def main(world):
