--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -88,6 +88,15 @@
         self._shared.appended.set()
         self._shared.appended = asyncio.Event()
 
+    @property
+    def current_era(self) -> int:
+        """Return the era, which rises with each restore."""
+        return self._shared.era
+
+    def bounds(self, topic: Topic) -> tuple[int, int]:
+        """Return the first offset that is retained, and the end offset."""
+        return self._shared.first_offset[topic], len(self._shared.records[topic])
+
     def records(self, topic: Topic) -> list[tuple[str, bytes | None]]:
         """Return the records of a topic, from offset 0 on."""
         return self._shared.records[topic]
@@ -141,7 +150,7 @@
         """Return the records from an offset on."""
         await self._raise_if_failing(topic, wait_s)
         era = self._shared.era
-        first, end = self._shared.first_offset[topic], len(self._shared.records[topic])
+        first, end = self.bounds(topic)
         if not first <= start <= end:
             raise OffsetOutOfRangeError(f"there is no offset {start}", first)
         try:
