Heed what endpoints say of themselves in responses: leaving, and not now

Callers: calls go to an endpoint that has said in a response that it leaves, or that it wants nothing for some seconds, and come back refused or not at all. Cause: no response header of an endpoint but its load changed what a router believes of it.

Leaving holds for the incarnation, against its entry, a lapse and a restored store; a newer incarnation ends it. A pause holds until the longest of the ends that were named. Neither is a failure of the endpoint. Calls that were chosen and not yet written go elsewhere. If all endpoints pause, the call is refused at once, with the soonest end as Retry-After within the usual limits.

--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -1,5 +1,7 @@
 """Translation of the platform's HTTP headers to and from the router's types."""
 
+import re
+
 from cranberrysail.router.headercodec import (
     BaseHeaderCodec,
     CallHead,
@@ -34,10 +36,19 @@
 # Numbers of running calls, waiting calls and slots.
 SERVER_LOAD = b"cranberrysail-server-load"
 RETRY_AFTER = b"retry-after"
+# Set to 1 in all responses of an endpoint that leaves.
+SERVER_LEAVING = b"server-leaving"
+# Status with which an endpoint that has no room turns a request away.
+STATUS_UNAVAILABLE = 503
 # Status sent by an endpoint that is not the expected instance.
 STATUS_MISDIRECTED = 421
 # Longer numbers are implausible and treated as invalid.
 MAX_DIGITS = 12
+# Seconds, also with a fraction. RFC 9110 allows whole seconds, and dates, which the
+# platform does not send.
+PAUSE_SECONDS = re.compile(rb"\d{1,9}(\.\d+)?")
+# Longer pauses are cut to this.
+MAX_PAUSE_S = 3600.0
 # Urgency ranges from 0 to this value.
 LEAST_URGENT = 9
 
@@ -109,6 +120,8 @@
             report=_parse_load_report(by_name.get(SERVER_LOAD, b"")),
             idle_timeout_s=_parse_idle_timeout_s(by_name.get(b"keep-alive", b"")),
             closing=closing,
+            leaving=by_name.get(SERVER_LEAVING, b"").strip() == b"1",
+            pause_s=_parse_pause_s(headers) if status == STATUS_UNAVAILABLE else 0.0,
         )
 
     def error_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
@@ -121,6 +134,17 @@
         return headers
 
 
+def _parse_pause_s(headers: Headers) -> float:
+    """Return the longest pause that Retry-After headers ask for.
+
+    Values that are no seconds, such as dates and negative numbers, are passed over (RFC
+    9110, section 10.2.3); of several, which the RFC does not allow, the longest counts.
+    """
+    values = [value.strip() for name, value in headers if name == RETRY_AFTER]
+    seconds = [float(value) for value in values if PAUSE_SECONDS.fullmatch(value)]
+    return min(max(seconds, default=0.0), MAX_PAUSE_S)
+
+
 def _parse_number(value: bytes) -> int | None:
     """Parse a decimal number; return None if it is invalid or too long."""
     value = value.strip()
--- a/cranberrysail/router/admission.py
+++ b/cranberrysail/router/admission.py
@@ -24,6 +24,7 @@
       COLD: Every remaining endpoint is cold, and the rate limit for cold endpoints is
         reached.
       FULL: The call would queue for too long.
+      PAUSED: Every remaining endpoint has asked this router to send nothing for a time.
       ENDPOINT_REFUSED: Endpoints declined the call or could not be connected to.
       TOO_LATE: The deadline passed before the call was executed.
     """
@@ -32,6 +33,7 @@
     NO_ENDPOINT = "no_endpoint"
     COLD = "cold"
     FULL = "full"
+    PAUSED = "paused"
     ENDPOINT_REFUSED = "endpoint_refused"
     TOO_LATE = "too_late"
 
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -13,6 +13,7 @@
     BaseHeaderCodec,
     EndpointRequestInfo,
     Headers,
+    ResponseHead,
 )
 from cranberrysail.router.hopbyhop import HOP_BY_HOP
 from cranberrysail.router.httpclient import HttpClientConn
@@ -90,6 +91,11 @@
             conn = await self._acquire_connection(endpoint, max_connections)
             if conn is None:
                 return Attempt(AttemptResult.NOT_SENT, "no connection to the endpoint")
+            if not endpoint.takes_requests(now()):
+                self.connection_pool.release(endpoint, conn)
+                return Attempt(
+                    AttemptResult.NOT_SENT, "the endpoint asked for no more requests"
+                )
             stats.pending[pending_id] = now()
             return await self._run_on_connection(call, choice, conn, pending_id)
         finally:
@@ -157,6 +163,10 @@
         try:
             async with asyncio.timeout(max(0.0, call.remaining_s)):
                 await conn.wait_for_head()
+                response = self._header_codec.response_head(conn.status, conn.headers)
+                self._record_wishes(
+                    endpoint, call.head.request_id, conn.status, response
+                )
                 await conn.read_up_to(MAX_BUFFERED_BYTES)
         except (TimeoutError, UpstreamError) as exc:
             # The response to a call whose caller left was not received.
@@ -205,6 +215,7 @@
         call.attempts_sent += 1
         await conn.wait_for_head()
         response = self._header_codec.response_head(conn.status, conn.headers)
+        self._record_wishes(endpoint, request_id, conn.status, response)
         conn.idle_timeout_s = response.idle_timeout_s
         if response.closing:
             conn.reusable = False
@@ -214,7 +225,7 @@
             self._endpoints.call_answered(endpoint, now(), call.service_config.cold_s)
         if response.displaced or response.not_run:
             call.executions -= 1
-            return await self._on_not_executed(endpoint, conn, response.displaced)
+            return await self._on_not_executed(endpoint, conn, response)
         # A success without a valid seal may come from something between router and
         # endpoint, or may have been changed on the way.
         if conn.status < 300 and not response.from_endpoint:
@@ -224,21 +235,49 @@
             return await self._forward_stream(call, endpoint, conn, pending_id, sent_s)
         return await self._forward_response(call, endpoint, conn, pending_id, sent_s)
 
+    def _record_wishes(
+        self, endpoint: Endpoint, request_id: str, status: int, response: ResponseHead
+    ) -> None:
+        """Record whether an endpoint leaves, or wants no requests for a time."""
+        if response.displaced:
+            return
+        if response.leaving and self._endpoints.said_leaving(endpoint, now()):
+            self._metrics.count("endpoints_leaving")
+            self._log.write(
+                "endpoint_leaving",
+                endpoint=endpoint.id,
+                started_ms=endpoint.record.started_ms,
+                request=request_id,
+                status=status,
+            )
+        if response.pause_s:
+            until_s = now() + response.pause_s
+            self._endpoints.said_pause(endpoint, now(), until_s)
+            self._metrics.count("endpoint_pauses")
+            self._log.write(
+                "endpoint_paused",
+                endpoint=endpoint.id,
+                seconds=response.pause_s,
+                request=request_id,
+                status=status,
+            )
+
     async def _on_not_executed(
-        self, endpoint: Endpoint, conn: HttpClientConn, displaced: bool
+        self, endpoint: Endpoint, conn: HttpClientConn, response: ResponseHead
     ) -> Attempt:
         try:
             await conn.read_up_to(MAX_BUFFERED_BYTES)
         except UpstreamError:
             conn.reusable = False
-        if displaced:
+        if response.displaced:
             self._endpoints.address_reassigned(endpoint, now())
             return Attempt(
                 AttemptResult.DISPLACED, "the address now belongs to another endpoint"
             )
-        self._selector.loads.stats(endpoint).record_response(
-            1.0, failed=True, now=now()
-        )
+        if not response.pause_s:
+            self._selector.loads.stats(endpoint).record_response(
+                1.0, failed=True, now=now()
+            )
         return Attempt(AttemptResult.NOT_RUN, f"status {conn.status}, call not run")
 
     async def _forward_response(
--- a/cranberrysail/router/endpoints.py
+++ b/cranberrysail/router/endpoints.py
@@ -1,6 +1,7 @@
 """Directory of endpoints: which exist, and in what state each of them is."""
 
 import math
+import sys
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -86,6 +87,10 @@
       maybe_cold_until_s: Time until which an endpoint that may have restarted is
         considered cold; infinite until it responds.
       backoff_until_s: Time until which other endpoints are preferred.
+      leaving: True if it said in a response that it will stop. No declaration of this
+        incarnation changes that.
+      paused_until_s: Time until which it wants no requests from this router.
+      pause_said_s: Time at which it last said so.
       connection_failures: Failed connections since its last response.
       open_calls: Calls of this router that are open at the endpoint.
     """
@@ -97,6 +102,9 @@
     maybe_restarted: bool = False
     maybe_cold_until_s: float = math.inf
     backoff_until_s: float = 0.0
+    leaving: bool = False
+    paused_until_s: float = -math.inf
+    pause_said_s: float = -math.inf
     connection_failures: int = 0
     open_calls: int = 0
 
@@ -110,6 +118,10 @@
         """Return the id and start time, which identify this incarnation."""
         return (self.record.endpoint_id, self.record.started_ms)
 
+    def takes_requests(self, now: float) -> bool:
+        """Return whether it may be sent requests, by what it said of itself."""
+        return self.state is not EndpointState.DRAINING and now >= self.paused_until_s
+
     def is_cold(self, now: float) -> bool:
         """Return whether the limit for cold endpoints applies."""
         return (
@@ -185,6 +197,9 @@
             return False
         if record.started_ms > old.started_ms:
             self._add(record, now, EndpointChange.RESTARTED)
+            # The new incarnation may have said it before its declaration was read.
+            if now - known.pause_said_s <= RESTART_DECLARED_WITHIN_S:
+                self.said_pause(known, known.pause_said_s, known.paused_until_s)
             return True
         if old.draining and not record.draining and record.sequence == old.sequence:
             return False
@@ -204,7 +219,7 @@
 
     def _update_state(self, known: Endpoint, record: EndpointRecord) -> None:
         state = EndpointState.DRAINING if record.draining else EndpointState.READY
-        if known.state is state:
+        if known.state is state or known.leaving:
             return
         returned = state is EndpointState.READY
         change = EndpointChange.RETURNED if returned else EndpointChange.DRAINING
@@ -231,11 +246,9 @@
         known = self._endpoints.get(endpoint_id)
         if known is None:
             return
-        if now - self._store_failed_s > STORE_LOSS_WINDOW_S or known.record.draining:
-            record = known.record
-            self._removed[endpoint_id] = _RemovedEndpoint(
-                record.started_ms, record.sequence, now + REMOVED_MEMORY_S
-            )
+        leaves = known.record.draining or known.leaving
+        if now - self._store_failed_s > STORE_LOSS_WINDOW_S or leaves:
+            self._remember_removed(known, known.record.sequence, now)
             self._remove(known, "record removed from the store")
             return
         if known.state is not EndpointState.LAPSED:
@@ -246,6 +259,13 @@
                 "record expired while the store was unavailable",
             )
 
+    def _remember_removed(self, endpoint: Endpoint, sequence: int, now: float) -> None:
+        if endpoint.leaving:
+            sequence = sys.maxsize
+        self._removed[endpoint.id] = _RemovedEndpoint(
+            endpoint.record.started_ms, sequence, now + REMOVED_MEMORY_S
+        )
+
     def _remove(self, endpoint: Endpoint, why: str) -> None:
         del self._endpoints[endpoint.id]
         self._unconfirmed.discard(endpoint.id)
@@ -290,9 +310,11 @@
             del self._removed[endpoint_id]
         if now >= self._confirmation_deadline_s:
             for endpoint_id in list(self._unconfirmed):
+                endpoint = self._endpoints[endpoint_id]
+                if endpoint.leaving:
+                    self._remember_removed(endpoint, sys.maxsize, now)
                 self._remove(
-                    self._endpoints[endpoint_id],
-                    "not declared again after the store was restored",
+                    endpoint, "not declared again after the store was restored"
                 )
         if now < self._lapse_deadline_s:
             return
@@ -362,6 +384,34 @@
         if endpoint.maybe_restarted and endpoint.maybe_cold_until_s == math.inf:
             endpoint.maybe_cold_until_s = now + max(RESTART_DECLARED_WITHIN_S, cold_s)
 
+    def said_leaving(self, endpoint: Endpoint, now: float) -> bool:
+        """Record that an endpoint said in a response that it will stop.
+
+        Returns:
+          Whether that is news.
+        """
+        if endpoint.leaving:
+            return False
+        endpoint.leaving = True
+        current = self._endpoints.get(endpoint.id)
+        if current is None:
+            self._remember_removed(endpoint, sys.maxsize, now)
+        elif current is endpoint:
+            endpoint.state = EndpointState.DRAINING
+            self.on_change(EndpointChange.DRAINING, endpoint, "said so in a response")
+        return True
+
+    def said_pause(self, endpoint: Endpoint, now: float, until_s: float) -> None:
+        """Record that an endpoint wants no requests from this router for a time.
+
+        A later response may extend a pause, but not shorten it. It also holds for an
+        incarnation of the endpoint that has become known since the request was sent, as
+        the response may be from that one.
+        """
+        for paused in (endpoint, self._endpoints.get(endpoint.id, endpoint)):
+            paused.paused_until_s = max(paused.paused_until_s, until_s)
+            paused.pause_said_s = now
+
     def address_reassigned(self, endpoint: Endpoint, now: float) -> None:
         """Remove an endpoint whose address now belongs to another one."""
         if self._endpoints.get(endpoint.id) is endpoint:
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -186,6 +186,22 @@
     return f"endpoint {line.get('endpoint')}: {line.get('change')} ({line.get('why')})"
 
 
+@LINE_FORMATTERS.register("endpoint_leaving")
+def _endpoint_leaving(line: LogLine) -> str:
+    return (
+        f"endpoint {line.get('endpoint')} said with status {line.get('status')} of "
+        f"request {line.get('request')} that it leaves"
+    )
+
+
+@LINE_FORMATTERS.register("endpoint_paused")
+def _endpoint_paused(line: LogLine) -> str:
+    return (
+        f"endpoint {line.get('endpoint')} turned request {line.get('request')} away "
+        f"with status {line.get('status')} and wants none for {line.get('seconds')} s"
+    )
+
+
 @LINE_FORMATTERS.register("store_lost")
 def _store_lost(line: LogLine) -> str:
     return (
--- a/cranberrysail/router/headercodec.py
+++ b/cranberrysail/router/headercodec.py
@@ -52,6 +52,9 @@
       report: Load report of the endpoint, if present.
       idle_timeout_s: Idle timeout of the connection in seconds; 0 if not given.
       closing: True if the endpoint closes the connection after this response.
+      leaving: True if the endpoint says that it will stop.
+      pause_s: Seconds for which the endpoint wants no requests from this router; 0 if
+        it does not say.
     """
 
     request_id: str
@@ -61,6 +64,8 @@
     report: LoadReport | None
     idle_timeout_s: float
     closing: bool
+    leaving: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -41,7 +41,8 @@
       load: Effective load of the endpoint; of the best one if the reason is FULL.
       candidates: Number of endpoints considered: the usable ones if the reason is
         COLD, else those of them within the limit for cold endpoints.
-      wait_s: Expected time until a slot becomes free; set only if the reason is FULL.
+      wait_s: Expected time until a slot becomes free, or until the first pause ends;
+        set only if the reason is FULL or PAUSED.
       cache_source: Endpoint from which the prompt cache may be fetched, if any.
       rank: Rank of the endpoint for the call's prompt, 0 for its home; None without a
         prompt.
@@ -187,9 +188,15 @@
         usable = [e for e in self.endpoints.usable(service_name) if e.id not in tried]
         if not usable:
             return Choice(None, RefusalReason.NO_ENDPOINT)
-        admissible = [e for e in usable if self._within_cold_limit(e, service, now)]
+        taking = [e for e in usable if e.takes_requests(now)]
+        if not taking:
+            wait_s = min(e.paused_until_s for e in usable) - now
+            return Choice(
+                None, RefusalReason.PAUSED, candidates=len(usable), wait_s=wait_s
+            )
+        admissible = [e for e in taking if self._within_cold_limit(e, service, now)]
         if not admissible:
-            return Choice(None, RefusalReason.COLD, candidates=len(usable))
+            return Choice(None, RefusalReason.COLD, candidates=len(taking))
         candidates = self._candidates(
             admissible, now, self.residual_time_s(service_name)
         )
@@ -255,6 +262,8 @@
             if e.record.service == service
             and e.record.zone not in self.endpoints.zones_out
             and e.state is not EndpointState.LAPSED
+            and not e.leaving
+            and now >= e.paused_until_s
             and now >= e.backoff_until_s
             and not self.loads.stats(e).is_unresponsive(now)
         ]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,7 @@
 """Tests of the translation of the platform's headers."""
 
+import pytest
+
 from cranberrysail.platform.headers import PlatformHeaderCodec
 from cranberrysail.router.headercodec import EndpointRequestInfo
 from cranberrysail.router.load import LoadReport
@@ -111,3 +113,36 @@
 def test_response_with_content_encoding_is_not_from_endpoint():
     headers = [(b"cranberrysail-response-seal", b"s"), (b"content-encoding", b"gzip")]
     assert not HEADERS_CODEC.response_head(200, headers).from_endpoint
+
+
+@pytest.mark.parametrize(
+    ("values", "pause_s"),
+    [
+        ([b"2"], 2.0),
+        ([b" 0.25 "], 0.25),
+        ([b"0.12345678901234567"], 0.12345678901234567),
+        ([b"1", b"3"], 3.0),
+        ([b"3", b"x"], 3.0),
+        ([b"999999999"], 3600.0),
+        ([], 0.0),
+        ([b""], 0.0),
+        ([b"-1"], 0.0),
+        ([b"nan"], 0.0),
+        ([b"inf"], 0.0),
+        ([b"1e9"], 0.0),
+        ([b"Fri, 04 Dec 2026 10:00:00 GMT"], 0.0),
+    ],
+)
+def test_pause_of_an_endpoint_is_parsed(values, pause_s):
+    headers = [(b"retry-after", value) for value in values]
+    assert HEADERS_CODEC.response_head(503, headers).pause_s == pause_s
+    assert HEADERS_CODEC.response_head(200, headers).pause_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("value", "leaving"), [(b"1", True), (b" 1 ", True), (b"0", False), (b"", False)]
+)
+def test_endpoint_that_leaves_is_recognised(value, leaving):
+    headers = [(b"server-leaving", value)]
+    assert HEADERS_CODEC.response_head(404, headers).leaving is leaving
+    assert not HEADERS_CODEC.response_head(200, []).leaving
