--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -41,6 +41,8 @@
       misses_wakeups: True while reads return only after their whole wait, even if
         there are records.
       silent_topic: Topic of which reads fail only after a timeout, or None.
+      shown: Number of records of each topic that reads show, as if they were behind;
+        None if they show all.
     """
 
     def __init__(self, shared: _SharedState | None = None, client: str = "") -> None:
@@ -61,6 +63,7 @@
         self.silent = False
         self.misses_wakeups = False
         self.silent_topic: Topic | None = None
+        self.shown: dict[Topic, int] | None = None
 
     def view_for(self, client: str) -> "MemoryStore":
         """Return the view of a client; faults set here apply to it too."""
@@ -138,26 +141,34 @@
             raise StoreError("the store is down")
         self.era.observe(self._shared.era)
 
+    def _end_shown(self, topic: Topic) -> int:
+        """Return the end offset that reads show."""
+        end = len(self._shared.records[topic])
+        parent = self._views.get("") if self._client else None
+        for view in (self, parent):
+            if view is not None and view.shown is not None:
+                end = min(end, view.shown.get(topic, 0))
+        return end
+
     async def read_snapshot(self, topic: Topic) -> Page:
         """Return the newest record of each key."""
         await self._raise_if_failing(topic)
-        newest = dict(self._shared.records[topic])
+        end = self._end_shown(topic)
+        newest = dict(self._shared.records[topic][:end])
         records = tuple((k, v) for k, v in newest.items() if v is not None)
-        end = len(self._shared.records[topic])
         return Page(records, end, is_snapshot=True, era=self._shared.era)
 
     async def read(self, topic: Topic, start: int, wait_s: float) -> Page:
         """Return the records from an offset on."""
         await self._raise_if_failing(topic, wait_s)
         era = self._shared.era
-        first, end = self.bounds(topic)
+        first, end = self.bounds(topic)[0], self._end_shown(topic)
         if not first <= start <= end:
             raise OffsetOutOfRangeError(f"there is no offset {start}", first)
         try:
             async with asyncio.timeout(wait_s):
                 while (
-                    self._has_fault("misses_wakeups")
-                    or len(self._shared.records[topic]) <= start
+                    self._has_fault("misses_wakeups") or self._end_shown(topic) <= start
                 ):
                     await self._shared.appended.wait()
         except TimeoutError:
@@ -167,7 +178,7 @@
             raise StoreError("no response from the store")
         if self._shared.era != era:
             raise StoreError("the connection was reset")
-        records = tuple(self._shared.records[topic][start:])
+        records = tuple(self._shared.records[topic][start : self._end_shown(topic)])
         return Page(records, start + len(records), era=era)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
