--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -312,6 +312,7 @@
     """Return the log fields that tell where a page was read and how old it may be."""
     return {
         "source": page.source or "store",
+        "snapshot": page.is_snapshot,
         "age_s": round(page.age_s, 2),
         "next_offset": page.next_offset,
         "era": page.era,
@@ -560,6 +561,11 @@
         while self._state.tables is None or Topic.ROUTERS not in self._state.eras:
             await asyncio.sleep(REGISTRATION_POLL_S)
         page = await self.sources.read_peer_snapshot(Topic.OPERATORS)
+        self._state.log.write(
+            "tables_checked",
+            peer=page.source if page is not None else None,
+            in_force=self._state.tables.version,
+        )
         record = self._state.apply_tables(page) if page is not None else None
         if record is not None:
             self.cache.replace(Topic.OPERATORS, *record)
