Routers tell each other the version of their tables, and fetch higher ones

What callers would see: calls handled by older tables for good, on a router that started while an older version stood behind a newer one in the store (a write without an answer that is carried out late, or written again after a restore).

Cause: a router that starts takes the newest record for the newest version, and asked one peer, once. The peer may have just started too, or not respond.

Who hears of a higher one fetches those tables from there: no moment of its own, no order of starts, no store. Builds without versions are unaffected.

--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -21,6 +21,7 @@
     OffsetOutOfRangeError,
     Page,
     Position,
+    Record,
     StoreError,
     Topic,
 )
@@ -118,6 +119,7 @@
       decoder: Decodes the platform's records.
       on_tables_changed: Called after newer tables were applied.
       tables: Tables of the highest version read, None if there are none yet.
+      tables_record: Their record.
       eras: Era of the store of the last snapshot of each topic.
     """
 
@@ -127,6 +129,7 @@
     decoder: BaseRecordDecoder
     on_tables_changed: Callable[[], None]
     tables: RouteTables | None = None
+    tables_record: Record | None = None
 
     def __post_init__(self) -> None:
         self.eras: dict[Topic, int] = {}
@@ -197,17 +200,19 @@
             self._set_zone_out(zone, out)
         return not_applied
 
-    def apply_tables(self, page: Page) -> tuple[str, bytes] | None:
-        """Apply the newest tables of a page, and nothing else of it.
+    def apply_tables(self, record: Record, source: str) -> bool:
+        """Apply the tables that a peer has in force, unless they are older.
+
+        Args:
+          record: The record of the tables.
+          source: Name of the peer.
 
         Returns:
-          The record that is in force now, None if it is not of the page.
+          Whether they are in force now.
         """
-        not_applied = self._apply_newest_tables(page)
-        for index, (key, value) in enumerate(page.records):
-            if self.decoder.is_tables_key(key) and index not in not_applied:
-                return key, value
-        return None
+        if not self.decoder.is_tables_key(record[0]):
+            return False
+        return not self._apply_newest_tables(Page((record,), 0, source=source))
 
     def _apply_newest_tables(self, page: Page) -> set[int]:
         """Apply the valid tables of the highest version, wherever they stand."""
@@ -261,6 +266,7 @@
             self.log.write("tables_rejected", why=str(exc), bytes=len(value))
             return False
         self.tables = tables
+        self.tables_record = page.records[index]
         self.log.write(
             "tables_applied",
             version=tables.version,
@@ -439,18 +445,14 @@
             )
         if not page.is_snapshot and page.era != self._position.era:
             raise EraChangedError(f"records of era {page.era} of the store")
-        if page.next_position < self._applied:
-            self._state.log.write(
-                "offset_went_back",
-                topic=self._topic.value,
-                before=self._applied.offset,
-                **_origin_fields(page),
-            )
         not_applied = self._state.apply(self._topic, page)
         if page.is_snapshot:
             self._cache.reset(self._topic, page, not_applied)
         else:
             self._cache.extend(self._topic, self._position.offset, page, not_applied)
+        if self._topic is Topic.OPERATORS and self._state.tables_record is not None:
+            # It may have been fetched from a peer, and the page has an older version.
+            self._cache.replace(self._topic, *self._state.tables_record)
         if page.era != self._applied.era:
             self._reached.clear()
         self._reached.add(page.next_offset, now())
@@ -551,24 +553,6 @@
             for follower in self.topic_followers:
                 group.create_task(follower.run())
             group.create_task(self._register())
-            group.create_task(self._check_tables_with_peers())
-
-    async def _check_tables_with_peers(self) -> None:
-        """Take over newer tables that a peer has when this router starts.
-
-        The newest record of the store may be an older version that was written late.
-        """
-        while self._state.tables is None or Topic.ROUTERS not in self._state.eras:
-            await asyncio.sleep(REGISTRATION_POLL_S)
-        page = await self.sources.read_peer_snapshot(Topic.OPERATORS)
-        self._state.log.write(
-            "tables_checked",
-            peer=page.source if page is not None else None,
-            in_force=self._state.tables.version,
-        )
-        record = self._state.apply_tables(page) if page is not None else None
-        if record is not None:
-            self.cache.replace(Topic.OPERATORS, *record)
 
     async def _register(self) -> None:
         """Register this router in the store whenever it is not registered."""
--- a/cranberrysail/router/loadexchange.py
+++ b/cranberrysail/router/loadexchange.py
@@ -1,7 +1,8 @@
-"""Regular exchange of load reports with other routers."""
+"""Regular exchange of load reports, and of the versions of tables, between routers."""
 
 import asyncio
 import random
+from urllib.parse import quote
 
 import msgspec
 
@@ -11,8 +12,11 @@
 from cranberrysail.router.loadgossip import LOADS_PATH, MAX_SENT_AGE_S, LoadGossip
 from cranberrysail.router.peers import (
     CONNECT_TIMEOUT_S,
+    VERSION_HEADER,
+    BaseTablesSource,
     RegisteredRouter,
     RouterDirectory,
+    parse_version,
 )
 from cranberrysail.router.store import StoreError
 
@@ -34,15 +38,24 @@
     """Exchanges loads with other routers at regular intervals."""
 
     def __init__(
-        self, load_gossip: LoadGossip, routers: RouterDirectory, log: DecisionLog
+        self,
+        name: str,
+        load_gossip: LoadGossip,
+        tables: BaseTablesSource,
+        routers: RouterDirectory,
+        log: DecisionLog,
     ) -> None:
         """Create an instance for one router.
 
         Args:
+          name: Name of this router.
           load_gossip: Loads to share, and where to merge those of others.
+          tables: Tables in force, and where to tell of those of others.
           routers: The registered routers.
           log: Log of failed exchanges.
         """
+        self._name = name
+        self._tables = tables
         self._load_gossip = load_gossip
         self._routers = routers
         self._log = log
@@ -72,7 +85,10 @@
         client = self._clients.setdefault(
             partner.address, HttpStoreClient(partner.address, CONNECT_TIMEOUT_S)
         )
-        target = f"{LOADS_PATH}?within_ms={within_s * 1000:.0f}"
+        target = (
+            f"{LOADS_PATH}?within_ms={within_s * 1000:.0f}"
+            f"&router={quote(self._name, safe='')}&tables={self._tables.version}"
+        )
         sent = self._load_gossip.encode(started_s, within_s)
         try:
             response = await client.request(
@@ -83,6 +99,9 @@
             self._backoff_until_s[partner.address] = now() + BACKOFF_S
             self._log.write("loads_not_exchanged", peer=partner.name, why=str(exc))
             return
+        for header, value in response.headers:
+            if header == VERSION_HEADER:
+                self._tables.heard(partner.name, parse_version(value.decode("latin-1")))
         self._last_exchange_s[partner.address] = started_s
 
     def close(self) -> None:
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -6,6 +6,7 @@
 
 import sys
 import zlib
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import parse_qs
@@ -23,6 +24,8 @@
     OffsetOutOfRangeError,
     Page,
     Position,
+    Record,
+    Records,
     StalePeerError,
     StoreEra,
     StoreError,
@@ -34,10 +37,18 @@
     "RouterDirectory",
     "PeerStore",
     "create_peer_server",
+    "decode_tables_response",
     "encode_router_record",
+    "parse_version",
 ]
 
 RECORDS_PATH = "/records"
+# Path at which a router serves its tables in force.
+TABLES_PATH = "/tables"
+# Response header of an exchange of loads: the version of the tables in force.
+VERSION_HEADER = b"tables-version"
+# Maximum number of digits of a version.
+MAX_VERSION_DIGITS = 18
 # Short, since the peers asked first are in the same zone.
 CONNECT_TIMEOUT_S = 0.3
 # Maximum wait of a read from a peer for new records. A peer that has some responds at
@@ -62,7 +73,6 @@
 ZLIB_HEADER = b"\x78"
 # Maximum size of an unpacked page.
 MAX_UNPACKED_BYTES = 16 * 1024 * 1024
-Records = tuple[tuple[str, bytes | None], ...]
 BINARY_HEADERS = [(b"content-type", b"application/octet-stream")]
 
 
@@ -130,6 +140,10 @@
     def __len__(self) -> int:
         return len(self._routers)
 
+    def get(self, name: str) -> RegisteredRouter | None:
+        """Return a registered router by name."""
+        return self._routers.get(name)
+
     def is_registered(self, name: str, address: str) -> bool:
         """Return whether the store lists a router with an address."""
         peer = self._routers.get(name)
@@ -346,11 +360,57 @@
     return msgspec.msgpack.decode(data, type=Records)
 
 
+def decode_tables_response(body: bytes) -> Record:
+    """Return the record of a peer's tables in force.
+
+    Raises:
+      StoreError: If the response cannot be decoded.
+    """
+    try:
+        (record,) = _decode(body)
+    except (msgspec.DecodeError, zlib.error, ValueError) as exc:
+        raise StoreError(f"the peer's tables cannot be decoded ({exc})") from exc
+    if record[1] is None:
+        raise StoreError("the peer has no tables")
+    return record
+
+
+def parse_version(text: str) -> int:
+    """Return a version of tables that a router stated, 0 if it is not valid."""
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_VERSION_DIGITS:
+        return 0
+    return int(text)
+
+
+class BaseTablesSource(ABC):
+    """The tables that a router has in force, and what it hears of those of others."""
+
+    @property
+    @abstractmethod
+    def version(self) -> int:
+        """Return the version of the tables in force, 0 if there are none."""
+
+    @property
+    @abstractmethod
+    def record(self) -> Record | None:
+        """Return the record of the tables in force, None if there are none."""
+
+    @abstractmethod
+    def heard(self, router: str, version: int) -> None:
+        """Record the version of the tables that another router has in force.
+
+        Args:
+          router: Name of the other router.
+          version: The version, 0 if it has no tables.
+        """
+
+
 def create_peer_server(
     cache: RecordCache,
     since_store_read_s: Callable[[Topic], float],
     era: StoreEra,
     load_gossip: LoadGossip,
+    tables: BaseTablesSource,
     on_error: Callable[[BaseException], None],
 ) -> HttpListener:
     """Return a server of recent records and loads for peers.
@@ -361,13 +421,17 @@
         the store.
       era: Era of the store, which peers may know of first.
       load_gossip: Loads to share, and where to merge those of peers.
+      tables: Tables in force, and where to tell of those of peers.
       on_error: Called with an unexpected exception.
     """
     encode_records = _CachingEncoder()
 
     async def serve(request: HttpRequest, conn: HttpServerConn) -> None:
         if request.path == LOADS_PATH:
-            _exchange_loads(load_gossip, request, conn)
+            _exchange_loads(load_gossip, tables, request, conn)
+            return
+        if request.path == TABLES_PATH:
+            _send_tables(tables, conn)
             return
         try:
             topic, position, wait_s = _parse_query(request)
@@ -398,11 +462,23 @@
     return HttpListener(serve, error_response, on_error)
 
 
+def _send_tables(tables: BaseTablesSource, conn: HttpServerConn) -> None:
+    record = tables.record
+    if record is None:
+        conn.send_response(404, BINARY_HEADERS, b"there are no tables yet\n")
+        return
+    conn.send_response(200, BINARY_HEADERS, _encode((record,)))
+
+
 def _exchange_loads(
-    load_gossip: LoadGossip, request: HttpRequest, conn: HttpServerConn
+    load_gossip: LoadGossip,
+    tables: BaseTablesSource,
+    request: HttpRequest,
+    conn: HttpServerConn,
 ) -> None:
+    query = _query(request)
     try:
-        within_s = float(_query(request)["within_ms"][0]) / 1000
+        within_s = float(query["within_ms"][0]) / 1000
         # The reply is made first: the peer has no use for its own reports.
         reply = load_gossip.encode(now(), within_s)
         load_gossip.merge_message(request.body, now())
@@ -411,7 +487,10 @@
             400, BINARY_HEADERS, b"within_ms and a list of loads are needed\n"
         )
         return
-    conn.send_response(200, BINARY_HEADERS, reply)
+    if "router" in query and "tables" in query:
+        tables.heard(query["router"][0], parse_version(query["tables"][0]))
+    version = (VERSION_HEADER, str(tables.version).encode())
+    conn.send_response(200, [*BINARY_HEADERS, version], reply)
 
 
 def _query(request: HttpRequest) -> dict[str, list[str]]:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -27,6 +27,7 @@
 from cranberrysail.router.loadgossip import LoadGossip
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.peers import RouterDirectory, create_peer_server
+from cranberrysail.router.peertables import PeerTables
 from cranberrysail.router.selector import Selector
 from cranberrysail.router.store import BaseStore
 
@@ -78,8 +79,13 @@
         )
         loads = LoadTracker()
         self.load_gossip = LoadGossip(loads, self.endpoints)
-        self.load_exchange = LoadExchange(self.load_gossip, self.routers, self.log)
         self.follower = Follower(cfg, store, self.routing_state)
+        self.peer_tables = PeerTables(
+            self.routing_state, self.routers, self.follower.cache, self.log
+        )
+        self.load_exchange = LoadExchange(
+            cfg.name, self.load_gossip, self.peer_tables, self.routers, self.log
+        )
         self.selector = Selector(
             cfg, self.endpoints, loads, self.routers, random.Random()
         )
@@ -202,6 +208,7 @@
                 follower.sources.since_store_read_s,
                 follower.sources.store.era,
                 self.load_gossip,
+                self.peer_tables,
                 self._on_unexpected_error,
             ),
         )
@@ -211,6 +218,7 @@
             self._spawn(self._watch_settings())
         self._spawn(self.follower.run())
         self._spawn(self.load_exchange.run())
+        self._spawn(self.peer_tables.run())
         self.log.write("started", zone=self.cfg.zone, callers=self.cfg.callers)
 
     async def _listen(self, address: str, listener: HttpListener) -> None:
--- a/cranberrysail/router/recordcache.py
+++ b/cranberrysail/router/recordcache.py
@@ -113,9 +113,10 @@
     def replace(self, topic: Topic, key: str, value: bytes) -> None:
         """Replace a record by one that was applied, but not read with its offset."""
         cached = self._topics.get(topic)
-        if cached is not None:
-            cached.records.pop(key, None)
-            cached.records[key] = (cached.next_offset, value)
+        if cached is None or cached.records.get(key, (0, None))[1] == value:
+            return
+        cached.records.pop(key, None)
+        cached.records[key] = (cached.next_offset, value)
 
     def extend(
         self,
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -153,12 +153,6 @@
                 return page
         return None
 
-    async def read_peer_snapshot(self, topic: Topic) -> Page | None:
-        """Return a peer's snapshot, however old, or None if no peer responds."""
-        return await self._read_peer_snapshot(
-            topic, Position(0, 0), self.routers.fallback_peers(), float("inf")
-        )
-
     async def _add_recent(self, topic: Topic, snapshot: Page, offset: int) -> Page:
         """Return a snapshot with earlier records of its keys before the newest ones."""
         keys = {key for key, _ in snapshot.records}
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -10,9 +10,12 @@
 __all__ = [
     "BaseStore",
     "EraChangedError",
+    "LOG_START",
     "OffsetOutOfRangeError",
     "Page",
     "Position",
+    "Record",
+    "Records",
     "StalePeerError",
     "StoreEra",
     "StoreError",
@@ -105,12 +108,19 @@
     offset: int
 
 
+# Position before all records of all eras.
+LOG_START = Position(0, 0)
+# A key and its value, which is None if the key was removed.
+Record = tuple[str, bytes | None]
+Records = tuple[Record, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Page:
     """Records in the order in which they were written.
 
     Attributes:
-      records: Pairs of key and value; the value is None if the key was removed.
+      records: The records; of a snapshot also earlier ones, if they were read.
       next_offset: Offset at which the next read begins.
       is_snapshot: True for a snapshot, that is, the newest record of every key.
       era: Era of the store in which they were read.
@@ -118,7 +128,7 @@
       age_s: Time since that peer last read the topic from the store.
     """
 
-    records: tuple[tuple[str, bytes | None], ...]
+    records: Records
     next_offset: int
     is_snapshot: bool = False
     era: int = 0
