Routers that start read what the store retains of the history, too

What callers would see: after all routers of a fleet started, tables older than the newest confirmed version for good, or none at all if the record behind it is invalid or a removal; calls to an endpoint that drains, if an older declaration stands behind its last one.

Cause: a start read only the newest record of each key, and a record written late hides the newer one before it. The history that the store retains still has it.

--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -14,11 +14,14 @@
     RouterDirectory,
 )
 from cranberrysail.router.store import (
+    LOG_START,
     BaseStore,
     EraChangedError,
     OffsetOutOfRangeError,
     Page,
     Position,
+    Record,
+    Records,
     StalePeerError,
     StoreError,
     Topic,
@@ -43,6 +46,9 @@
 # Time beyond the maximum age of records for a peer's response to arrive, after which
 # the store is read.
 PEER_OVERTIME_S = 0.3
+# Topics whose records say which of a key is newer, so that earlier ones tell more than
+# the newest of each key.
+ORDERED_TOPICS = {Topic.OPERATORS, Topic.ENDPOINTS}
 # Minimum interval between reads of the store. Endpoints change in bursts, and one
 # read after a short pause reads several changes.
 STORE_READ_INTERVAL_S = {Topic.ENDPOINTS: 0.6}
@@ -90,13 +96,17 @@
         Asks peers first, since they compress the records. The store does not, and a
         router on a slow link may not receive its response in time.
 
+        An older record may have been written behind a newer one of its key, which a
+        snapshot then lacks. So what the store retains of the history is read, too, by a
+        router that has applied nothing yet, and as far as a restored store may have
+        been given records again.
+
         Args:
           topic: The topic.
           min_position: Position up to which records have been applied; a snapshot that
             ends before it is ignored.
           recent_offset: Offset before all records that a restored store may have been
-            given again. They are read, too, since an older record may be written again
-            behind a newer one of its key, which a snapshot then lacks.
+            given again.
 
         Raises:
           StoreError: If no source returns a usable response.
@@ -114,7 +124,9 @@
         try:
             page = await self.store.read_snapshot(topic)
             self._raise_if_outdated(page)
-            if recent_offset is not None and page.era > min_position.era:
+            if min_position == LOG_START and topic in ORDERED_TOPICS:
+                page = await self._add_history(topic, page)
+            elif recent_offset is not None and page.era > min_position.era:
                 page = await self._add_recent(topic, page, recent_offset)
         except EraChangedError:
             raise
@@ -153,10 +165,26 @@
                 return page
         return None
 
+    async def _add_history(self, topic: Topic, snapshot: Page) -> Page:
+        """Return a snapshot with all earlier records that the store retains."""
+        if snapshot.next_offset <= len(snapshot.records):
+            return snapshot
+        history = await self._read_history(topic, snapshot, 0)
+        return replace(snapshot, records=(*history, *snapshot.records))
+
     async def _add_recent(self, topic: Topic, snapshot: Page, offset: int) -> Page:
         """Return a snapshot with earlier records of its keys before the newest ones."""
         keys = {key for key, _ in snapshot.records}
-        recent: list[tuple[str, bytes | None]] = []
+        recent = [
+            (key, value)
+            for key, value in await self._read_history(topic, snapshot, offset)
+            if value is not None and key in keys
+        ]
+        return replace(snapshot, records=(*recent, *snapshot.records))
+
+    async def _read_history(self, topic: Topic, snapshot: Page, offset: int) -> Records:
+        """Return the retained records from an offset to the end of a snapshot."""
+        records: list[Record] = []
         while offset < snapshot.next_offset:
             try:
                 page = await self.store.read(topic, offset, 0.0)
@@ -170,9 +198,9 @@
                 raise EraChangedError(f"the store is in its era {page.era}")
             if page.next_offset == offset:
                 break
-            recent += [(k, v) for k, v in page.records if v is not None and k in keys]
+            records += page.records
             offset = page.next_offset
-        return replace(snapshot, records=(*recent, *snapshot.records))
+        return tuple(records)
 
     def _raise_if_outdated(self, page: Page) -> None:
         if page.era < self.store.era.number:
