--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -46,6 +46,9 @@
 # Time beyond the maximum age of records for a peer's response to arrive, after which
 # the store is read.
 PEER_OVERTIME_S = 0.3
+# A store that shows less than was applied for longer than this has lost records, even
+# if it does not say so by its era.
+MAX_BEHIND_S = 30.0
 # Topics whose records say which of a key is newer, so that earlier ones tell more than
 # the newest of each key.
 ORDERED_TOPICS = {Topic.OPERATORS, Topic.ENDPOINTS}
@@ -85,6 +88,7 @@
     _store_failing: bool = False
     _store_retry_at_s: float = 0.0
     _store_read_started_s: dict[Topic, float] = field(default_factory=dict)
+    _behind_since_s: dict[Topic, float] = field(default_factory=dict)
     _clients: dict[str, PeerStore] = field(default_factory=dict)
     _backoffs: dict[str, _Backoff] = field(default_factory=dict)
 
@@ -124,6 +128,7 @@
         try:
             page = await self.store.read_snapshot(topic)
             self._raise_if_outdated(page)
+            self._raise_if_behind(topic, page, min_position)
             if min_position == LOG_START and topic in ORDERED_TOPICS:
                 page = await self._add_history(topic, page)
             elif recent_offset is not None and page.era > min_position.era:
@@ -209,6 +214,29 @@
                 f"{self.store.era.number} had begun; read again"
             )
 
+    def _raise_if_behind(
+        self, topic: Topic, page: Page, min_position: Position
+    ) -> None:
+        """Reject a snapshot that lacks records which have been applied."""
+        if page.next_position >= min_position:
+            self._behind_since_s.pop(topic, None)
+            return
+        since_s = self._behind_since_s.setdefault(topic, now())
+        self.log.write(
+            "offset_went_back",
+            topic=topic.value,
+            before=min_position.offset,
+            next_offset=page.next_offset,
+            era=page.era,
+        )
+        if now() - since_s > MAX_BEHIND_S:
+            del self._behind_since_s[topic]
+            return
+        raise StoreError(
+            f"the store's snapshot ends at offset {page.next_offset}, before "
+            f"{min_position.offset} that was read already; read again"
+        )
+
     async def read(
         self, topic: Topic, start: Position, wait_s: float, as_of_s: float
     ) -> Page:
@@ -264,11 +292,7 @@
 
     async def _read_store(self, topic: Topic, start: Position, wait_s: float) -> Page:
         await self._wait_for_interval(topic)
-        try:
-            page = await self.store.read(topic, start.offset, wait_s)
-        except OffsetOutOfRangeError:
-            self.store_last_read_s[topic] = now()
-            raise
+        page = await self.store.read(topic, start.offset, wait_s)
         self._raise_if_outdated(page)
         if page.era > start.era:
             raise EraChangedError(f"the store is in its era {page.era}")
--- a/tests/router/test_random_scenario.py
+++ b/tests/router/test_random_scenario.py
@@ -14,6 +14,7 @@
 from cranberrysail.router.memorystore import MemoryStore
 from cranberrysail.router.outcome import NextStep
 from cranberrysail.router.peertables import PeerTables
+from cranberrysail.router.recordsources import RecordSources
 from cranberrysail.router.sse import EventSplitter
 from tests.router.randomscenario import RandomScenario
 from tests.router.virtualloop import run_virtual
@@ -119,8 +120,9 @@
         return lost
 
     monkeypatch.setattr(MemoryStore, "restore", restore_without_era)
-    # Peers would tell of the versions that are missed.
+    # Either would make up for the records that are missed.
     monkeypatch.setattr(PeerTables, "heard", lambda *args: None)
+    monkeypatch.setattr(RecordSources, "_raise_if_behind", lambda *args: None)
     assert has_violation("is due", seed=50)
 
 
