A removal that peers pass on does not hide the drain before it

What callers would see: calls to an endpoint that has left, on a router that reads from a peer, if an older declaration is written after the removal.

Cause: the cache that peers read keeps the newest record of a key. A drain and the removal behind it became a removal alone, so the reader remembered the endpoint by an earlier declaration and took the older one for a return.

The cache sends the record that a removal ended, too, unless the reader has it.

--- a/cranberrysail/router/recordcache.py
+++ b/cranberrysail/router/recordcache.py
@@ -13,6 +13,22 @@
 MAX_KEYS = 2048
 
 
+@dataclass(frozen=True, slots=True)
+class _CachedRecord:
+    """The newest record of a key.
+
+    Attributes:
+      end: End offset of the page it came in.
+      value: Its value, None if the key was removed.
+      ended: Record with a value that a removal ended. A reader that lacks it could not
+        tell whether records of the key that follow the removal are older.
+    """
+
+    end: int
+    value: bytes | None
+    ended: "_CachedRecord | None" = None
+
+
 @dataclass
 class _TopicCache:
     """The newest record of each key of one topic, oldest first.
@@ -22,7 +38,7 @@
       first_offset: Offset from which on no record is missing.
       next_offset: Offset after the newest record.
       has_all_keys: True while no key has been evicted.
-      records: Values by key, each with the end offset of the page it came in.
+      records: Records by key.
       updated: Set, and then replaced, when records are added.
     """
 
@@ -30,29 +46,36 @@
     first_offset: int
     next_offset: int
     has_all_keys: bool = True
-    records: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)
+    records: dict[str, _CachedRecord] = field(default_factory=dict)
     updated: asyncio.Event = field(default_factory=asyncio.Event)
 
     def extend(self, page: Page, not_applied: Set[int]) -> None:
         for index, (key, value) in enumerate(page.records):
             if index in not_applied and key in self.records:
                 continue
-            self.records.pop(key, None)
-            self.records[key] = (page.next_offset, value)
+            self.put(key, value, page.next_offset)
         while len(self.records) > MAX_KEYS:
             oldest = next(iter(self.records))
-            self.first_offset = self.records.pop(oldest)[0]
+            self.first_offset = self.records.pop(oldest).end
             self.has_all_keys = False
         self.next_offset = page.next_offset
         self.wake_readers()
 
+    def put(self, key: str, value: bytes | None, end: int) -> None:
+        before = self.records.pop(key, None)
+        ended = None
+        if value is None and before is not None:
+            ended = before if before.value is not None else before.ended
+        self.records[key] = _CachedRecord(end, value, ended)
+
     def wake_readers(self) -> None:
         self.updated.set()
         self.updated = asyncio.Event()
 
     def records_from(self, start: int) -> Page:
-        """Return the records from an offset on, only the newest of each key.
+        """Return the newest record of each key written from an offset on.
 
+        A removal follows the record that it ended, if that was written since, too.
         Before the first offset kept, returns the newest record of every key.
 
         Raises:
@@ -60,10 +83,14 @@
         """
         if start < self.first_offset:
             return self.snapshot()
-        records = tuple(
-            (key, value) for key, (end, value) in self.records.items() if end > start
-        )
-        return Page(records, self.next_offset, era=self.era)
+        records = []
+        for key, cached in self.records.items():
+            if cached.end <= start:
+                continue
+            if cached.ended is not None and cached.ended.end > start:
+                records.append((key, cached.ended.value))
+            records.append((key, cached.value))
+        return Page(tuple(records), self.next_offset, era=self.era)
 
     def snapshot(self) -> Page:
         if not self.has_all_keys:
@@ -71,9 +98,9 @@
                 "the requested records are not cached; read the store"
             )
         records = tuple(
-            (key, value)
-            for key, (_, value) in self.records.items()
-            if value is not None
+            (key, cached.value)
+            for key, cached in self.records.items()
+            if cached.value is not None
         )
         return Page(records, self.next_offset, is_snapshot=True, era=self.era)
 
@@ -102,9 +129,9 @@
         if previous is not None:
             for index in not_applied:
                 key = page.records[index][0]
-                _, value = previous.records.get(key, (0, None))
-                if value is not None:
-                    cached.records[key] = (page.next_offset, value)
+                known = previous.records.get(key)
+                if known is not None and known.value is not None:
+                    cached.put(key, known.value, page.next_offset)
         cached.extend(page, not_applied)
         self._topics[topic] = cached
         if previous is not None:
@@ -113,10 +140,11 @@
     def replace(self, topic: Topic, key: str, value: bytes) -> None:
         """Replace a record by one that was applied, but not read with its offset."""
         cached = self._topics.get(topic)
-        if cached is None or cached.records.get(key, (0, None))[1] == value:
+        if cached is None:
             return
-        cached.records.pop(key, None)
-        cached.records[key] = (cached.next_offset, value)
+        known = cached.records.get(key)
+        if known is None or known.value != value:
+            cached.put(key, value, cached.next_offset)
 
     def extend(
         self,
--- a/tests/router/test_recordcache.py
+++ b/tests/router/test_recordcache.py
@@ -37,6 +37,15 @@
     assert read(cache_with(*pages), 10) == Page((("config", b"49"),), 60)
 
 
+def test_removal_does_not_hide_the_record_that_it_ended():
+    cache = cache_with(
+        Page((("a", b"1"),), 11), Page((("a", b"2"), ("a", None)), 13), start=10
+    )
+    assert read(cache, 10) == Page((("a", b"2"), ("a", None)), 13)
+    assert read(cache, 11) == Page((("a", b"2"), ("a", None)), 13)
+    assert read(cache, 13) == Page((), 13)
+
+
 def test_reader_behind_cache_gets_snapshot():
     """A slow link could not carry every version of the tables since the offset."""
     cache = cache_with(
