--- a/cranberrysail/router/peertables.py
+++ b/cranberrysail/router/peertables.py
@@ -28,8 +28,9 @@
 
 # Delay before tables are fetched; their record usually arrives meanwhile.
 FETCH_DELAY_S = 0.3
-# A router whose tables were no newer than those in force is not asked again for this
-# time.
+# A router from which tables could not be fetched is not asked again for this time.
+FAILED_RETRY_S = 1.0
+# The same for one whose tables were no newer than those in force.
 FRUITLESS_RETRY_S = 5.0
 
 
@@ -107,6 +108,7 @@
             record = decode_tables_response(response.body)
         except StoreError as exc:
             self._log.write("tables_not_fetched", peer=peer.name, why=str(exc))
+            self._retry_at_s[peer.name] = now() + FAILED_RETRY_S
             return
         finally:
             client.close()
--- a/tests/router/test_peertables.py
+++ b/tests/router/test_peertables.py
@@ -7,7 +7,12 @@
 from cranberrysail.router.peers import parse_version
 from cranberrysail.router.store import Topic
 from tests.router.simulatedfleet import Caller, make_config
-from tests.router.test_tables_in_force import HOSTS, run_fleet, version
+from tests.router.test_tables_in_force import (
+    HOSTS,
+    run_fleet,
+    stop_responding,
+    version,
+)
 
 
 def kinds(world, kind):
@@ -26,6 +31,17 @@
     assert run_fleet(main) == (1, 1)
 
 
+def test_peer_whose_tables_cannot_be_fetched_is_left_alone_for_a_second():
+    async def main(world):
+        stop_responding(world, HOSTS["r2"])
+        for _ in range(30):
+            world.routers["r1"].peer_tables.heard("r2", 7)
+            await asyncio.sleep(0.1)
+        return len(kinds(world, "tables_not_fetched"))
+
+    assert run_fleet(main) <= 3
+
+
 def test_version_of_an_unknown_router_is_ignored():
     async def main(world):
         world.routers["r1"].peer_tables.heard("r9", 7)
