--- a/tests/router/test_reads_that_are_behind.py
+++ b/tests/router/test_reads_that_are_behind.py
@@ -7,10 +7,13 @@
 from cranberrysail.router.store import Topic
 from tests.router.simulatedfleet import make_config
 from tests.router.test_tables_in_force import (
+    HOSTS,
     MAX_DELAY_S,
     NAMES,
     measure_delays,
+    routers_by_rank,
     run_fleet,
+    stop_responding,
 )
 
 # Calls of three routers for two topics in 6 s, if each pauses after a failed read.
@@ -62,3 +65,25 @@
         return await measure_delays(world, 3, NAMES)
 
     assert max(run_fleet(main)) <= MAX_DELAY_S
+
+
+def test_store_that_is_behind_again_after_peers_made_up_for_it_takes_nothing_back():
+    async def main(world):
+        first, *others = routers_by_rank(world)
+        behind = world.store.copy()
+        world.store.append(Topic.OPERATORS, "evacuate/b", b"{}")
+        await asyncio.sleep(2.0)
+        world.store.view_for(first).shown = behind
+        await asyncio.sleep(5.0)
+        world.store.view_for(first).shown = None
+        await asyncio.sleep(35.0)
+        for name in others:
+            stop_responding(world, HOSTS[name])
+        world.store.view_for(first).shown = behind
+        seen = []
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            seen.append(sorted(world.routers[first].endpoints.zones_out))
+        return seen
+
+    assert run_fleet(main) == [["b"]] * 30
