--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -167,6 +167,7 @@
                 and page.is_snapshot
                 and page.next_position >= min_position
             ):
+                self._behind_since_s.pop(topic, None)
                 return page
         return None
 
@@ -297,6 +298,7 @@
         if page.era > start.era:
             raise EraChangedError(f"the store is in its era {page.era}")
         self.store_last_read_s[topic] = now()
+        self._behind_since_s.pop(topic, None)
         self._store_failing = False
         return page
 
