--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -11,6 +11,7 @@
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import EndpointDirectory
+from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.model import EndpointRecord, RouteTables
 from cranberrysail.router.peers import RouterDirectory, encode_router_record
 from cranberrysail.router.recordcache import RecordCache
@@ -500,6 +501,7 @@
         cfg: RouterConfig,
         store: BaseStore,
         state: RoutingState,
+        metrics: RouterMetrics,
     ) -> None:
         """Create a follower.
 
@@ -507,11 +509,12 @@
           cfg: Settings of the router.
           store: The store.
           state: The state to apply records to.
+          metrics: Counts the requests to the store.
         """
         self._cfg = cfg
         self._store = store
         self._state = state
-        self.sources = RecordSources(store, state.routers, state.log)
+        self.sources = RecordSources(store, state.routers, state.log, metrics)
         self.cache = RecordCache()
         self.topic_followers = [
             TopicFollower(self.sources, self.cache, topic, state)
--- a/cranberrysail/router/metrics.py
+++ b/cranberrysail/router/metrics.py
@@ -30,6 +30,14 @@
         """
         self.counters[name, label] += 1
 
+    def by_label(self, name: str) -> dict[str, int]:
+        """Return the values of a counter by label."""
+        return {
+            label: value
+            for (counter, label), value in sorted(self.counters.items())
+            if counter == name
+        }
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram."""
         histogram = self._histograms.get(name)
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -79,7 +79,7 @@
         )
         loads = LoadTracker()
         self.load_gossip = LoadGossip(loads, self.endpoints)
-        self.follower = Follower(cfg, store, self.routing_state)
+        self.follower = Follower(cfg, store, self.routing_state, self.metrics)
         self.peer_tables = PeerTables(
             self.routing_state, self.routers, self.follower.cache, self.log
         )
@@ -164,6 +164,7 @@
             "store_era": self.follower.sources.store.era.number,
             "routers": len(self.routers),
             "zones_out": sorted(self.endpoints.zones_out),
+            "store_reads": self.metrics.by_label("store_reads"),
             "followers": {
                 f._topic.value: {"failing": f.failing, "age_s": now() - f.last_read_s}
                 for f in self.follower.topic_followers
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.peers import (
     MAX_RECORD_AGE_S,
     MAX_WAIT_S,
@@ -27,7 +29,7 @@
     Topic,
 )
 
-__all__ = ["RecordSources"]
+__all__ = ["ReadReason", "RecordSources"]
 
 # Backoff after a peer failed; it doubles with each further failure. The maximum is
 # low, since a peer may be back within a second, and meanwhile this router, possibly
@@ -57,15 +59,39 @@
 STORE_READ_INTERVAL_S = {Topic.ENDPOINTS: 0.6}
 
 
+class ReadReason(StrEnum):
+    """Reason for a request that reads from the store.
+
+    Attributes:
+      START: A snapshot for a router that has applied nothing yet.
+      SNAPSHOT: A snapshot after a failure, a restore, or records that were dropped.
+      HISTORY: Records before those of a snapshot.
+      NO_PEER: This router has no preferred peers, as the first one of its zone.
+      PEER_OUTDATED: The records of its preferred peers are too old.
+      PEER_FAILED: Its preferred peers failed, or are left alone after a failure.
+      TOO_OLD: Its own records are too old for a peer to be asked.
+    """
+
+    START = "start"
+    SNAPSHOT = "snapshot"
+    HISTORY = "history"
+    NO_PEER = "no_peer"
+    PEER_OUTDATED = "peer_outdated"
+    PEER_FAILED = "peer_failed"
+    TOO_OLD = "too_old"
+
+
 @dataclass
 class _Backoff:
     """When a peer is tried again, and the delay after its next failure.
 
     Attributes:
       outdated: True if its last response was of an earlier era of the store.
+      failed: True if its last request failed; False if its records were too old.
     """
 
     outdated: bool = False
+    failed: bool = False
     until_s: float = 0.0
     delay_s: float = INITIAL_BACKOFF_S
 
@@ -78,12 +104,14 @@
       store: The store.
       routers: The registered routers, including this one.
       log: Log of failed reads.
+      metrics: Counts the requests to the store by reason.
       store_last_read_s: Time at which the store last responded, by topic.
     """
 
     store: BaseStore
     routers: RouterDirectory
     log: DecisionLog
+    metrics: RouterMetrics
     store_last_read_s: dict[Topic, float] = field(default_factory=dict)
     _store_failing: bool = False
     _store_retry_at_s: float = 0.0
@@ -125,11 +153,13 @@
                 return page
             if not self._has_outdated_peer():
                 break
+        starts = min_position == LOG_START
+        self._count(ReadReason.START if starts else ReadReason.SNAPSHOT)
         try:
             page = await self.store.read_snapshot(topic)
             self._raise_if_outdated(page)
             self._raise_if_behind(topic, page, min_position)
-            if min_position == LOG_START and topic in ORDERED_TOPICS:
+            if starts and topic in ORDERED_TOPICS:
                 page = await self._add_history(topic, page)
             elif recent_offset is not None and page.era > min_position.era:
                 page = await self._add_recent(topic, page, recent_offset)
@@ -192,6 +222,7 @@
         """Return the retained records from an offset to the end of a snapshot."""
         records: list[Record] = []
         while offset < snapshot.next_offset:
+            self._count(ReadReason.HISTORY)
             try:
                 page = await self.store.read(topic, offset, 0.0)
             except OffsetOutOfRangeError as exc:
@@ -259,9 +290,12 @@
           StoreError: If no source returns a usable response.
         """
         fresh_until_s = as_of_s + MAX_RECORD_AGE_S[topic]
+        reason = ReadReason.NO_PEER
         for peer in self.routers.preferred_peers():
             fresh_for_s = fresh_until_s - now()
             if fresh_for_s <= 0:
+                if reason is ReadReason.NO_PEER:
+                    reason = ReadReason.TOO_OLD
                 break
             page = await self._read_peer(
                 peer,
@@ -272,6 +306,8 @@
             )
             if page is not None:
                 return page
+            failed = self._backoffs[peer.address].failed
+            reason = ReadReason.PEER_FAILED if failed else ReadReason.PEER_OUTDATED
         if now() < self._store_retry_at_s:
             page = await self._read_fallback_peers(topic, start, wait_s)
             if page is not None:
@@ -279,6 +315,7 @@
         try:
             # A store that failed is only probed, as a waiting read would not tell.
             store_wait_s = 0.0 if self._store_failing else wait_s
+            self._count(reason)
             return await self._read_store(topic, start, store_wait_s)
         except (OffsetOutOfRangeError, EraChangedError):
             raise
@@ -292,7 +329,9 @@
             return page
 
     async def _read_store(self, topic: Topic, start: Position, wait_s: float) -> Page:
-        await self._wait_for_interval(topic)
+        paused_s = await self._wait_for_interval(topic)
+        # Peers expect the next read to end as early as without the pause.
+        wait_s = max(0.0, wait_s - paused_s)
         page = await self.store.read(topic, start.offset, wait_s)
         self._raise_if_outdated(page)
         if page.era > start.era:
@@ -312,14 +351,16 @@
                 return page
         return None
 
-    async def _wait_for_interval(self, topic: Topic) -> None:
-        """Wait until the minimum interval since the last read has passed."""
+    async def _wait_for_interval(self, topic: Topic) -> float:
+        """Pause until the minimum interval since the last read; return the pause."""
+        asked_s = now()
         due_s = self._store_read_started_s.get(topic, 0.0) + STORE_READ_INTERVAL_S.get(
             topic, 0.0
         )
-        if due_s > now():
-            await asyncio.sleep(due_s - now())
+        if due_s > asked_s:
+            await asyncio.sleep(due_s - asked_s)
         self._store_read_started_s[topic] = now()
+        return now() - asked_s
 
     async def _read_peer(
         self,
@@ -342,6 +383,7 @@
             if backoff.outdated:
                 raise StalePeerError(f"the peer is in era {page.era} of the store")
         except StalePeerError:
+            backoff.failed = False
             backoff.until_s = now() + STALE_PEER_RETRY_S
             return None
         except StoreError as exc:
@@ -352,12 +394,16 @@
                 why=str(exc),
                 seconds=backoff.delay_s,
             )
+            backoff.failed = True
             backoff.until_s = now() + backoff.delay_s
             backoff.delay_s = min(backoff.delay_s * 2, MAX_BACKOFF_S)
             return None
         backoff.delay_s = INITIAL_BACKOFF_S
         return replace(page, source=peer.name)
 
+    def _count(self, reason: ReadReason) -> None:
+        self.metrics.count("store_reads", reason.value)
+
     def since_store_read_s(self, topic: Topic) -> float:
         """Return the time since a topic was last read from the store."""
         return now() - self.store_last_read_s.get(topic, float("-inf"))
