--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -4,6 +4,7 @@
 that get no response from the store while others do.
 """
 
+import heapq
 import sys
 import zlib
 from abc import ABC, abstractmethod
@@ -67,6 +68,18 @@
 }
 # Routers that a restored store does not list register again within this time.
 REGISTRATION_GRACE_S = 5.0
+# Peers of the own zone that are asked before the store. The store may turn several
+# routers away at once.
+PREFERRED_PEERS = 4
+# Routers of the own zone that loads are exchanged with.
+LOAD_PARTNERS = 2
+# Peers that are asked after the store failed.
+FALLBACK_PEERS = 4
+# Routers that share one reader of the store where all links are slow: large tables of
+# 50 KB take 0.3 s to reach the others on a link of 10 Mbit/s.
+SLOW_LINK_GROUP = 8
+# Maximum number of endpoints whose ranks are kept.
+MAX_CACHED_RANKS = 4096
 # Compression does not pay for smaller pages.
 COMPRESSION_MIN_BYTES = 1024
 # First byte of zlib data; a msgpack-encoded list of records starts with another.
@@ -122,7 +135,11 @@
 
 
 class RouterDirectory:
-    """The routers that are registered in the store, including this one."""
+    """The routers that are registered in the store, including this one.
+
+    Orders of routers are computed once for each change of the list, as they are needed
+    for each call and each exchange.
+    """
 
     def __init__(self, name: str, zone: str) -> None:
         """Create an empty directory.
@@ -136,6 +153,9 @@
         self._routers: dict[str, RegisteredRouter] = {}
         self._unconfirmed: set[str] = set()
         self._confirmation_deadline_s = float("-inf")
+        self._ranks: dict[str, int] = {}
+        self._zone_orders: dict[str, list[RegisteredRouter]] | None = None
+        self._fallback_peers: list[RegisteredRouter] | None = None
 
     def __len__(self) -> int:
         return len(self._routers)
@@ -162,6 +182,7 @@
           restored: True for the first snapshot of a restored store.
         """
         rejected = set()
+        self._forget_orders()
         if restored:
             self._confirmation_deadline_s = now + REGISTRATION_GRACE_S
         if page.is_snapshot and now < self._confirmation_deadline_s:
@@ -187,69 +208,103 @@
         """Remove routers that did not register again in time."""
         if not self._unconfirmed or now < self._confirmation_deadline_s:
             return
+        self._forget_orders()
         for name in self._unconfirmed:
             self._routers.pop(name, None)
         self._unconfirmed.clear()
 
+    def _forget_orders(self) -> None:
+        self._ranks.clear()
+        self._zone_orders = None
+        self._fallback_peers = None
+
     def rank(self, endpoint: str) -> int:
         """Return how many routers rank before this one for an endpoint.
 
         The ranks are those of rendezvous hashing, so that all routers agree on
         them. A router that is not registered ranks last.
         """
+        rank = self._ranks.get(endpoint)
+        if rank is None:
+            if len(self._ranks) >= MAX_CACHED_RANKS:
+                self._ranks.clear()
+            rank = self._ranks[endpoint] = self._compute_rank(endpoint)
+        return rank
+
+    def _compute_rank(self, endpoint: str) -> int:
         if self._name not in self._routers:
             return sys.maxsize
         own = score(endpoint, self._name)
         return sum(score(endpoint, name) > own for name in self._routers)
 
+    def _zone_order(self, zone: str) -> list[RegisteredRouter]:
+        """Return the routers of a zone in the order in which they relay.
+
+        All routers agree on it. Those whose links have the bandwidth go first.
+        """
+        if self._zone_orders is None:
+            self._zone_orders = {}
+            for router in self._routers.values():
+                self._zone_orders.setdefault(router.zone, []).append(router)
+            for routers in self._zone_orders.values():
+                # The score has the same key at all routers.
+                routers.sort(key=lambda r: (not r.relays, score("", r.name)))
+        return self._zone_orders.get(zone, [])
+
+    def _own_index(self, routers: list[RegisteredRouter]) -> int:
+        """Return the index of this router, or the end if it is not registered yet."""
+        names = [router.name for router in routers]
+        return names.index(self._name) if self._name in names else len(names)
+
     def preferred_peers(self) -> list[RegisteredRouter]:
         """Return the peers of this zone to read from before the store.
 
         All routers of a zone agree on the order. The first one that relays reads the
-        store, the second reads from the first, and all others read from these two.
+        store, and the others read from those before them. Where no link has the
+        bandwidth to serve a whole zone, each group of a few routers has its first one
+        read the store.
         """
-        # The score has the same key at all routers, so that the order is the same.
-        ordered = sorted(
-            (p for p in self._routers.values() if p.zone == self._zone and p.relays),
-            key=lambda p: score("", p.name),
-        )
-        names = [p.name for p in ordered]
-        if self._name in names:
-            return ordered[: names.index(self._name)][:2]
-        return ordered[:2]
+        order = self._zone_order(self._zone)
+        index = self._own_index(order)
+        fast = sum(router.relays for router in order)
+        if fast:
+            return order[: min(index, fast)][:PREFERRED_PEERS]
+        start = index - index % SLOW_LINK_GROUP
+        return order[start:index][:PREFERRED_PEERS]
 
     def load_partners(self, turn: int) -> list[RegisteredRouter]:
         """Return the routers to exchange loads with, in order of preference.
 
-        They are the preferred peers, and a router of another zone: the router that has
-        no preferred peers connects its zone with the others.
+        They are the first routers of the zone, and a router of another zone: the first
+        router of a zone connects it with the others.
 
         Args:
           turn: Number of the exchange; the other zones take turns.
         """
-        first_by_zone: dict[str, RegisteredRouter] = {}
-        for peer in self._routers.values():
-            if peer.zone == self._zone or not peer.relays:
-                continue
-            first = first_by_zone.get(peer.zone)
-            if first is None or score("", peer.name) < score("", first.name):
-                first_by_zone[peer.zone] = peer
-        others = [first_by_zone[zone] for zone in sorted(first_by_zone)]
-        next_other = others[turn % len(others) :][:1] if others else []
-        return self.preferred_peers() + next_other
+        order = self._zone_order(self._zone)
+        before = order[: self._own_index(order)][:LOAD_PARTNERS]
+        zones = sorted(zone for zone in self._zone_orders if zone != self._zone)
+        if not zones:
+            return before
+        return [*before, self._zone_order(zones[turn % len(zones)])[0]]
 
     def fallback_peers(self) -> list[RegisteredRouter]:
-        """Return up to four peers to read from if the store fails, own zone first."""
-        others = [
-            p for p in self._routers.values() if p.name != self._name and p.relays
-        ]
-        others.sort(
-            key=lambda p: (
-                p.zone != self._zone,
-                score(self._name, p.name),
+        """Return up to four peers to read from if the store fails.
+
+        Those whose links have the bandwidth go first, then those of the own zone.
+        """
+        if self._fallback_peers is None:
+            others = [p for p in self._routers.values() if p.name != self._name]
+            self._fallback_peers = heapq.nsmallest(
+                FALLBACK_PEERS,
+                others,
+                key=lambda p: (
+                    not p.relays,
+                    p.zone != self._zone,
+                    score(self._name, p.name),
+                ),
             )
-        )
-        return others[:4]
+        return self._fallback_peers
 
 
 class PeerStore(BaseStore):
--- a/tests/router/simulatedfleet.py
+++ b/tests/router/simulatedfleet.py
@@ -311,7 +311,11 @@
         self.store.append(Topic.OPERATORS, "config", json.dumps(document).encode())
 
     async def start_router(
-        self, wait_s: float = 2.0, name: str = "r1", host: str = "10.0.0.1"
+        self,
+        wait_s: float = 2.0,
+        name: str = "r1",
+        host: str = "10.0.0.1",
+        relays: bool = True,
     ) -> Router:
         """Start a router and wait until it has read the store."""
         cfg = RouterConfig(
@@ -322,6 +326,7 @@
             f"{host}:8002",
             "store",
             f"{host}:8003",
+            relays=relays,
             cold=ColdBound(1.5, 5),
             repeats=RetryBound(0.2, 50, 10.0),
         )
--- a/tests/router/test_store_calls.py
+++ b/tests/router/test_store_calls.py
@@ -5,7 +5,13 @@
 
 import pytest
 
+from cranberrysail.router.peers import SLOW_LINK_GROUP
+from cranberrysail.router.rendezvous import score
 from tests.router.simulatedfleet import SimulatedFleet, make_config, plain_answer
+from tests.router.test_tables_in_force import (
+    MAX_PARTIAL_OUTAGE_DELAY_S,
+    measure_delays,
+)
 from tests.router.virtualloop import run_virtual
 
 MAX_RESPONSE_DELAY_S = 0.3
@@ -16,20 +22,26 @@
 CHANGE_INTERVAL_S = 2.5
 
 
-def count_store_requests(routers, seed=1):
+async def start_zone(world, routers, relays=True):
+    """Start the routers of a zone together; return its first worker."""
+    world.write_config(make_config())
+    worker = world.add_worker("p0", "plain", plain_answer)
+    starts = (
+        world.start_router(name=f"r{number}", host=f"10.0.2.{number}", relays=relays)
+        for number in range(routers)
+    )
+    await asyncio.gather(*starts)
+    await asyncio.sleep(5.0)
+    return worker
+
+
+def count_store_requests(routers, seed=1, relays=True):
     """Return the requests in a calm time of routers whose responses are late."""
 
     async def main(loop):
         rng = random.Random(seed)
         world = SimulatedFleet(loop)
-        world.write_config(make_config())
-        worker = world.add_worker("p0", "plain", plain_answer)
-        starts = (
-            world.start_router(name=f"r{number}", host=f"10.0.2.{number}")
-            for number in range(routers)
-        )
-        await asyncio.gather(*starts)
-        await asyncio.sleep(5.0)
+        worker = await start_zone(world, routers, relays)
         loop.response_delay_s = lambda: rng.uniform(
             MIN_RESPONSE_DELAY_S, MAX_RESPONSE_DELAY_S
         )
@@ -61,3 +73,44 @@
 @pytest.mark.parametrize("routers", [8, 34, 100])
 def test_late_responses_do_not_send_the_routers_of_a_zone_to_the_store(routers):
     assert count_store_requests(routers) <= 2 * count_store_requests(1)
+
+
+@pytest.mark.parametrize("routers", [8, 34])
+def test_slow_links_do_not_send_each_router_to_the_store(routers):
+    readers = -(-routers // SLOW_LINK_GROUP)
+    requests = count_store_requests(routers, relays=False)
+    assert requests <= 2 * readers * count_store_requests(1)
+
+
+def test_tables_reach_a_router_on_a_slow_link_that_the_store_turns_away():
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        await start_zone(world, 5, relays=False)
+        turned_away = next(
+            name for name, r in world.routers.items() if not r.routers.preferred_peers()
+        )
+        world.store.view_for(turned_away).down = True
+        await asyncio.sleep(2.0)
+        world.write_config(make_config(2))
+        return await measure_delays(world, 2, [turned_away])
+
+    assert max(run_virtual(main)) <= MAX_PARTIAL_OUTAGE_DELAY_S
+
+
+def test_store_that_turns_the_first_routers_away_is_not_read_by_all_others():
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        await start_zone(world, 12)
+        first, second, third, *others = sorted(
+            world.routers, key=lambda n: score("", n)
+        )
+        for name in (first, second):
+            world.store.view_for(name).down = True
+        await asyncio.sleep(4.0)
+        world.store.request_counts.clear()
+        await asyncio.sleep(10.0)
+        counts = world.store.request_counts
+        return counts[third], [counts[name] for name in others]
+
+    third, others = run_virtual(main)
+    assert max(others) <= third / 4
