--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -447,6 +447,8 @@
         if not page.is_snapshot and page.era != self._position.era:
             raise EraChangedError(f"records of era {page.era} of the store")
         not_applied = self._state.apply(self._topic, page)
+        if self._topic is Topic.ROUTERS:
+            self._sources.routers_read()
         if page.is_snapshot:
             self._cache.reset(self._topic, page, not_applied)
         else:
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -164,6 +164,10 @@
         """Return a registered router by name."""
         return self._routers.get(name)
 
+    def can_order_zone(self) -> bool:
+        """Return whether this router is listed, or others of its zone are."""
+        return self._name in self._routers or bool(self._zone_order(self._zone))
+
     def is_registered(self, name: str, address: str) -> bool:
         """Return whether the store lists a router with an address."""
         peer = self._routers.get(name)
@@ -496,6 +500,7 @@
             )
             return
         era.observe(position.era)
+        await cache.wait_until_loaded(topic, wait_s)
         try:
             fresh_for_s = max(0.0, MAX_RECORD_AGE_S[topic] - since_store_read_s(topic))
             page = await cache.read(topic, position, min(wait_s, fresh_for_s))
--- a/cranberrysail/router/recordcache.py
+++ b/cranberrysail/router/recordcache.py
@@ -113,6 +113,19 @@
     """
 
     _topics: dict[Topic, _TopicCache] = field(default_factory=dict)
+    _loaded: dict[Topic, asyncio.Event] = field(
+        default_factory=lambda: {topic: asyncio.Event() for topic in Topic}
+    )
+
+    async def wait_until_loaded(self, topic: Topic, wait_s: float) -> None:
+        """Wait until there is a snapshot of a topic, or for a maximum time."""
+        if topic in self._topics:
+            return
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._loaded[topic].wait()
+        except TimeoutError:
+            pass
 
     def reset(
         self, topic: Topic, page: Page, not_applied: Set[int] = frozenset()
@@ -134,6 +147,7 @@
                     cached.put(key, known.value, page.next_offset)
         cached.extend(page, not_applied)
         self._topics[topic] = cached
+        self._loaded[topic].set()
         if previous is not None:
             previous.wake_readers()
 
--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -51,12 +51,20 @@
 # A store that shows less than was applied for longer than this has lost records, even
 # if it does not say so by its era.
 MAX_BEHIND_S = 30.0
+# A router that starts waits this long for the list of routers. Those of a fleet that
+# starts as a whole register within half a second.
+START_ROUTERS_WAIT_S = 1.0
+# A router that starts asks this many peers for a snapshot before it reads the store.
+# One that has started as well is waited for, as it may be reading the snapshot.
+START_PEERS = 2
+START_PEER_WAIT_S = 0.25
+START_PEER_TIMEOUT_S = 0.3
 # Topics whose records say which of a key is newer, so that earlier ones tell more than
 # the newest of each key.
 ORDERED_TOPICS = {Topic.OPERATORS, Topic.ENDPOINTS}
 # Minimum interval between reads of the store. Endpoints change in bursts, and one
 # read after a short pause reads several changes.
-STORE_READ_INTERVAL_S = {Topic.ENDPOINTS: 0.6}
+STORE_READ_INTERVAL_S = {Topic.ENDPOINTS: 0.6, Topic.ROUTERS: 0.5}
 
 
 class ReadReason(StrEnum):
@@ -113,6 +121,7 @@
     log: DecisionLog
     metrics: RouterMetrics
     store_last_read_s: dict[Topic, float] = field(default_factory=dict)
+    _routers_known: asyncio.Event = field(default_factory=asyncio.Event)
     _store_failing: bool = False
     _store_retry_at_s: float = 0.0
     _store_read_started_s: dict[Topic, float] = field(default_factory=dict)
@@ -143,16 +152,9 @@
         Raises:
           StoreError: If no source returns a usable response.
         """
-        for retry in range(RESTORED_PEER_RETRIES + 1):
-            if retry:
-                await asyncio.sleep(STALE_PEER_RETRY_S)
-            page = await self._read_peer_snapshot(
-                topic, min_position, self.routers.preferred_peers()
-            )
-            if page is not None:
-                return page
-            if not self._has_outdated_peer():
-                break
+        page = await self._read_snapshot_before_store(topic, min_position)
+        if page is not None:
+            return page
         starts = min_position == LOG_START
         self._count(ReadReason.START if starts else ReadReason.SNAPSHOT)
         try:
@@ -176,6 +178,51 @@
         self.store_last_read_s[topic] = now()
         return page
 
+    async def _read_snapshot_before_store(
+        self, topic: Topic, min_position: Position
+    ) -> Page | None:
+        """Return the snapshot of a preferred peer, None if no peer has one."""
+        if min_position == LOG_START and topic is not Topic.ROUTERS:
+            page = await self._read_start_snapshot(topic)
+            if page is not None:
+                return page
+        for retry in range(RESTORED_PEER_RETRIES + 1):
+            if retry:
+                await asyncio.sleep(STALE_PEER_RETRY_S)
+            page = await self._read_peer_snapshot(
+                topic, min_position, self.routers.preferred_peers()
+            )
+            if page is not None:
+                return page
+            if not self._has_outdated_peer():
+                break
+        return None
+
+    def routers_read(self) -> None:
+        """Let the other topics of a router that starts be read from its peers."""
+        if self.routers.can_order_zone():
+            self._routers_known.set()
+
+    async def _read_start_snapshot(self, topic: Topic) -> Page | None:
+        """Return a peer's snapshot once the routers are known; None without one.
+
+        Peers that start at the same time are waited for, so that few of many routers
+        that start at once read the store, whose bandwidth they share.
+        """
+        try:
+            async with asyncio.timeout(START_ROUTERS_WAIT_S):
+                await self._routers_known.wait()
+        except TimeoutError:
+            return None
+        start = Position(self.store.era.number, 0)
+        for peer in self.routers.preferred_peers()[:START_PEERS]:
+            page = await self._read_peer(
+                peer, topic, start, START_PEER_WAIT_S, START_PEER_TIMEOUT_S
+            )
+            if page is not None and page.is_snapshot:
+                return page
+        return None
+
     def _has_outdated_peer(self) -> bool:
         addresses = [peer.address for peer in self.routers.preferred_peers()]
         return any(self._backoffs[a].outdated for a in addresses if a in self._backoffs)
--- a/tests/router/test_peertables.py
+++ b/tests/router/test_peertables.py
@@ -74,7 +74,7 @@
         world.kill(world.routers["r3"], HOSTS["r3"])
         world.store.view_for("r3").silent_topic = Topic.OPERATORS
         router = await world.start_router(0.0, "r3", HOSTS["r3"])
-        router.follower.sources._read_peer_snapshot = no_page
+        router.follower.sources._read_peer = no_page
         await asyncio.sleep(3.0)
         return router.routing_state.tables, kinds(world, "tables_behind")
 
--- a/tests/router/test_store_calls.py
+++ b/tests/router/test_store_calls.py
@@ -17,6 +17,10 @@
 MAX_RESPONSE_DELAY_S = 0.3
 MIN_RESPONSE_DELAY_S = 0.005
 OBSERVED_S = 30.0
+# Routers that start together, and what each may ask of the store in the first 7 s: the
+# list of routers, its registration, the list with the others, and two more.
+STARTED = 30
+MAX_START_REQUESTS = 5
 # Endpoints change twice within a moment, and then not for a time.
 CHANGE_GAP_S = 0.05
 CHANGE_INTERVAL_S = 2.5
@@ -114,3 +118,22 @@
 
     third, others = run_virtual(main)
     assert max(others) <= third / 4
+
+
+@pytest.mark.parametrize("registered", [False, True])
+def test_routers_that_start_together_do_not_each_read_all_of_the_store(registered):
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        if registered:
+            await start_zone(world, STARTED)
+            # The history is read only if a key was written twice.
+            world.write_declaration(world.workers["p0"])
+            world.write_config(make_config())
+            for router in world.routers.values():
+                world.kill(router, router.cfg.peers.partition(":")[0])
+            await asyncio.sleep(1.0)
+            world.store.request_counts.clear()
+        await start_zone(world, STARTED)
+        return sum(world.store.request_counts.values())
+
+    assert run_virtual(main) <= MAX_START_REQUESTS * STARTED
