--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -33,6 +33,11 @@
 # Wait for an endpoint, in seconds, that the retry delay assumes before tables and
 # endpoints have been read.
 NOT_LOADED_WAIT_S = 0.5
+# Time after a start within which tables and endpoints are read, unless the store is
+# away.
+LOADING_S = 1.5
+# Fraction of a caller's timeout for which its call waits for them.
+MAX_LOAD_WAIT_SHARE = 0.3
 # Time that a caller is assumed to wait if it does not say, as long as there are no
 # tables with the timeout of its route.
 DEFAULT_CALLER_TIMEOUT_S = 1.0
@@ -69,6 +74,7 @@
         self._header_codec = header_codec
         self._log = log
         self._metrics = metrics
+        self._started_s = now()
         self._budget = RetryBudget(cfg.repeats)
         self.attempt_runner = AttemptRunner(
             state.endpoints, selector, header_codec, log, metrics
@@ -87,6 +93,8 @@
           conn: The caller's connection.
         """
         head = self._header_codec.call_head(request.headers)
+        if not self._state.is_loaded:
+            await self._state.wait_until_loaded(self._max_load_wait_s(head))
         tables = self._state.tables
         if tables is None or not self._state.is_loaded:
             self._refuse_not_loaded(conn, head)
@@ -168,6 +176,17 @@
             tables=tables_version,
         )
 
+    def _max_load_wait_s(self, head: CallHead) -> float:
+        """Return how long a call waits for the tables of a router that has started.
+
+        A caller that is refused comes back once, and may find another router that has
+        just started. If the tables are late, the store is away, and calls are refused
+        at once.
+        """
+        loading_for_s = self._started_s + LOADING_S - now()
+        caller_timeout_s = head.timeout_s or DEFAULT_CALLER_TIMEOUT_S
+        return max(0.0, min(loading_for_s, caller_timeout_s * MAX_LOAD_WAIT_SHARE))
+
     def _refuse_not_loaded(self, conn: HttpServerConn, head: CallHead) -> None:
         # The reason covers endpoints that have not been read yet, too.
         retry_after_s = self._retry_after_s(
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -134,6 +134,7 @@
 
     def __post_init__(self) -> None:
         self.eras: dict[Topic, int] = {}
+        self._loaded = asyncio.Event()
         self._unconfirmed_zones: set[str] = set()
         self._zone_deadline_s = float("-inf")
 
@@ -142,6 +143,14 @@
         """Return whether tables and a snapshot of the endpoints have been applied."""
         return self.tables is not None and Topic.ENDPOINTS in self.eras
 
+    async def wait_until_loaded(self, max_wait_s: float) -> None:
+        """Wait until ``is_loaded`` is true, or for a maximum time."""
+        try:
+            async with asyncio.timeout(max_wait_s):
+                await self._loaded.wait()
+        except TimeoutError:
+            pass
+
     def apply(self, topic: Topic, page: Page) -> set[int]:
         """Apply a page of records.
 
@@ -162,6 +171,8 @@
             not_applied = self._apply_routers(page, restored)
         if page.is_snapshot:
             self.eras[topic] = page.era
+        if self.is_loaded:
+            self._loaded.set()
         return not_applied
 
     def remove_expired(self) -> None:
--- a/tests/router/test_routers_that_start.py
+++ b/tests/router/test_routers_that_start.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cranberrysail.router.store import Topic
-from tests.router.simulatedfleet import make_config
+from tests.router.simulatedfleet import make_config, make_request
 from tests.router.test_tables_in_force import (
     HOSTS,
     MAX_DELAY_S,
@@ -131,3 +131,33 @@
         return usable(world)
 
     assert run_fleet(main) == {name: ["p1"] for name in NAMES}
+
+
+@pytest.mark.parametrize("away_s", [0.0, 0.4, 0.8])
+def test_call_that_arrives_before_the_tables_is_not_refused(away_s):
+    async def main(world):
+        world.kill(world.routers["r1"], HOSTS["r1"])
+        world.store.view_for("r1").down = True
+        await world.start_router(0.0, "r1", HOSTS["r1"])
+        caller = await world.send(make_request("/look/1"))
+        await asyncio.sleep(away_s)
+        world.store.view_for("r1").down = False
+        await caller.answer()
+        return caller.status
+
+    assert run_fleet(main) == 200
+
+
+def test_call_to_a_router_that_finds_no_store_is_refused_at_once():
+    async def main(world):
+        world.store.down = True
+        for name in NAMES:
+            world.kill(world.routers[name], HOSTS[name])
+        await world.start_router(5.0, "r1", HOSTS["r1"])
+        sent_s = world.loop.time()
+        caller = await world.send_and_wait(make_request("/look/1"))
+        return caller.status, world.loop.time() - sent_s
+
+    status, seconds = run_fleet(main)
+    assert status == 503
+    assert seconds < 0.1
