--- a/cranberrysail/router/recordsources.py
+++ b/cranberrysail/router/recordsources.py
@@ -55,10 +55,11 @@
 # starts as a whole register within half a second.
 START_ROUTERS_WAIT_S = 1.0
 # A router that starts asks this many peers for a snapshot before it reads the store.
-# One that has started as well is waited for, as it may be reading the snapshot.
+# One that has started as well is waited for, as it may be reading the snapshot; one
+# that is dead accepts no connection, which takes less time.
 START_PEERS = 2
-START_PEER_WAIT_S = 0.25
-START_PEER_TIMEOUT_S = 0.3
+START_PEER_WAIT_S = 0.75
+START_PEER_TIMEOUT_S = 0.8
 # Topics whose records say which of a key is newer, so that earlier ones tell more than
 # the newest of each key.
 ORDERED_TOPICS = {Topic.OPERATORS, Topic.ENDPOINTS}
