--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from cranberrysail.router.endpoints import Endpoint
+from cranberrysail.router.load import LoadEstimate
 from cranberrysail.router.rendezvous import score
 
 __all__ = [
@@ -80,28 +81,40 @@
         return mean * factor + slack
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Candidate:
     """An endpoint that may be chosen for a call.
 
     Attributes:
-      load: Expected effective load: open calls, raised if the endpoint is slow or
-        failing.
       slots: Calls that the endpoint processes concurrently.
+      estimator: Returns the effective load of an endpoint: its open calls, raised if it
+        is slow or failing. It is asked only for endpoints that are looked at, which
+        are few of many.
       deprioritized: True if it is used only when all candidates are deprioritized,
         for example after connection failures or while it is unresponsive.
-      deviation: Standard deviation of the effective load.
     """
 
     endpoint: Endpoint
-    load: float
     slots: int
+    estimator: Callable[[Endpoint], LoadEstimate]
     deprioritized: bool = False
-    deviation: float = 0.0
+    _estimate: LoadEstimate | None = None
+
+    @property
+    def estimate(self) -> LoadEstimate:
+        """Return the effective load."""
+        if self._estimate is None:
+            self._estimate = self.estimator(self.endpoint)
+        return self._estimate
+
+    @property
+    def load(self) -> float:
+        """Return the expected effective load."""
+        return self.estimate.mean
 
     def sample_load(self, normal: NormalSampler) -> float:
         """Return a random load that the endpoint may have."""
-        return self.load + self.deviation * normal()
+        return self.estimate.mean + self.estimate.deviation * normal()
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -7,7 +7,7 @@
 from cranberrysail.router.coldlimit import ColdLimiter
 from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory, EndpointState
-from cranberrysail.router.load import EndpointStats, LoadTracker
+from cranberrysail.router.load import EndpointStats, LoadEstimate, LoadTracker
 from cranberrysail.router.model import Route, RouteTables, Service
 from cranberrysail.router.peers import RouterDirectory
 from cranberrysail.router.placement import (
@@ -197,13 +197,18 @@
         admissible = [e for e in taking if self._within_cold_limit(e, service, now)]
         if not admissible:
             return Choice(None, RefusalReason.COLD, candidates=len(taking))
+        endpoints = [e for e in self.endpoints if e.record.service == service_name]
+        other_calls = self.loads.expected_other_calls(endpoints, now)
         candidates = self._candidates(
-            admissible, now, self.residual_time_s(service_name)
+            admissible,
+            other_calls if len(admissible) == len(endpoints) else None,
+            now,
+            self.residual_time_s(service_name),
         )
         # Only services with a number of engine slots have a prompt cache.
         prefix_id = shared_prefix_id(parts) if service.engine_slots else ""
         bound = self.cfg.placement
-        mean_load = self._mean_load(service_name, now)
+        mean_load = self._mean_load(endpoints, other_calls)
         spill_load = bound.spill_load(mean_load, len(self.routers))
         placement = choose_endpoint(
             candidates,
@@ -233,14 +238,12 @@
             report_age_s=self.loads.stats(chosen.endpoint).report_age_s(now),
         )
 
-    def _mean_load(self, service: str, now: float) -> float:
+    def _mean_load(self, endpoints: list[Endpoint], other_calls: list[float]) -> float:
         """Return the mean load over all endpoints of a service.
 
         Endpoints that get no new calls are included, since the bound on the load of
         one endpoint is defined as a multiple of the mean over all of them.
         """
-        endpoints = [e for e in self.endpoints if e.record.service == service]
-        other_calls = self.loads.expected_other_calls(endpoints, now)
         total = sum(
             e.open_calls + (0.0 if self._is_excluded(e) else calls)
             for e, calls in zip(endpoints, other_calls, strict=True)
@@ -283,38 +286,49 @@
         )
 
     def _candidates(
-        self, endpoints: list[Endpoint], now: float, residual_s: float
+        self,
+        endpoints: list[Endpoint],
+        other_calls: list[float] | None,
+        now: float,
+        residual_s: float,
     ) -> list[Candidate]:
-        other_calls = self.loads.expected_other_calls(endpoints, now)
+        """Return the endpoints with their loads, which are estimated when asked for.
+
+        Args:
+          endpoints: The endpoints.
+          other_calls: Expected calls of other routers at each, None if not known yet.
+          now: Current time in seconds.
+          residual_s: Mean time for which calls found open stay open.
+        """
+        if other_calls is None:
+            other_calls = self.loads.expected_other_calls(endpoints, now)
         typical = sum(other_calls) / len(other_calls)
         unreachable = self.endpoints.unreachable_zones(now)
+
+        def estimate(endpoint: Endpoint) -> LoadEstimate:
+            # The penalty applies to the load including this call, so that it counts
+            # for an idle endpoint too.
+            expected = self.loads.estimate(endpoint, typical, now, residual_s)
+            penalty = self.loads.stats(endpoint).penalty(now)
+            return LoadEstimate(
+                (expected.mean + 1) * penalty - 1, expected.deviation * penalty
+            )
+
         # In a zone of which at least half the endpoints fail, those that have not
         # failed yet are assumed to be unreachable too; only those whose back-off is
         # over are tested.
-        found = []
-        for endpoint in endpoints:
-            stats = self.loads.stats(endpoint)
-            # The penalty applies to the load including this call, so that it counts
-            # for an idle endpoint too.
-            estimate = self.loads.estimate(endpoint, typical, now, residual_s)
-            penalty = stats.penalty(now)
-            load = (estimate.mean + 1) * penalty - 1
-            deprioritized = (
+        return [
+            Candidate(
+                endpoint,
+                max(1, endpoint.record.slots),
+                estimate,
                 now < endpoint.backoff_until_s
-                or stats.is_unresponsive(now)
+                or self.loads.stats(endpoint).is_unresponsive(now)
                 or endpoint.state is EndpointState.LAPSED
                 or (
                     endpoint.record.zone in unreachable
                     and not endpoint.connection_failures
-                )
+                ),
             )
-            found.append(
-                Candidate(
-                    endpoint,
-                    load,
-                    max(1, endpoint.record.slots),
-                    deprioritized,
-                    estimate.deviation * penalty,
-                )
-            )
-        return found
+            for endpoint in endpoints
+        ]
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -3,6 +3,7 @@
 import random
 
 from cranberrysail.router.endpoints import Endpoint, EndpointState
+from cranberrysail.router.load import LoadEstimate
 from cranberrysail.router.model import EndpointRecord
 from cranberrysail.router.placement import (
     Candidate,
@@ -32,7 +33,12 @@
 
 
 def candidates(endpoints, deprioritized=()):
-    return [Candidate(e, e.open_calls, 64, e.id in deprioritized) for e in endpoints]
+    return [
+        Candidate(
+            e, 64, lambda e: LoadEstimate(e.open_calls, 0.0), e.id in deprioritized
+        )
+        for e in endpoints
+    ]
 
 
 def place(endpoints, key, zones_out=()):
@@ -150,7 +156,7 @@
     )
     loads = [70, 68] + [90] * 7
     full = [
-        Candidate(e, load, 64, False, 8.0)
+        Candidate(e, 64, lambda _, load=load: LoadEstimate(load, 8.0))
         for e, load in zip(ranked, loads, strict=True)
     ]
     chosen = [
--- a/tests/router/test_store_calls.py
+++ b/tests/router/test_store_calls.py
@@ -1,6 +1,7 @@
 """Requests to the store of the routers of one availability zone."""
 
 import asyncio
+import gc
 import random
 
 import pytest
@@ -26,6 +27,17 @@
 CHANGE_INTERVAL_S = 2.5
 
 
+def run_fleet(main):
+    """Run a scenario, and free its routers before other code is compiled.
+
+    CPython 3.11 fails to compile while finalizers of many coroutines run.
+    """
+    try:
+        return run_virtual(main)
+    finally:
+        gc.collect()
+
+
 async def start_zone(world, routers, relays=True):
     """Start the routers of a zone together; return its first worker."""
     world.write_config(make_config())
@@ -58,7 +70,7 @@
         return sum(world.store.request_counts.values())
 
     random.seed(seed)
-    return run_virtual(main)
+    return run_fleet(main)
 
 
 def test_metrics_tell_why_the_store_was_read():
@@ -68,7 +80,7 @@
         router = await world.start_router()
         return router.dump()["store_reads"], router._metrics_page()[1].decode()
 
-    counts, metrics = run_virtual(main)
+    counts, metrics = run_fleet(main)
     assert counts["start"] == 3
     assert counts["no_peer"] > 0
     assert 'cranberrysail_store_reads_total{kind="start"} 3' in metrics
@@ -98,7 +110,7 @@
         world.write_config(make_config(2))
         return await measure_delays(world, 2, [turned_away])
 
-    assert max(run_virtual(main)) <= MAX_PARTIAL_OUTAGE_DELAY_S
+    assert max(run_fleet(main)) <= MAX_PARTIAL_OUTAGE_DELAY_S
 
 
 def test_store_that_turns_the_first_routers_away_is_not_read_by_all_others():
@@ -116,7 +128,7 @@
         counts = world.store.request_counts
         return counts[third], [counts[name] for name in others]
 
-    third, others = run_virtual(main)
+    third, others = run_fleet(main)
     assert max(others) <= third / 4
 
 
@@ -136,4 +148,4 @@
         await start_zone(world, STARTED)
         return sum(world.store.request_counts.values())
 
-    assert run_virtual(main) <= MAX_START_REQUESTS * STARTED
+    assert run_fleet(main) <= MAX_START_REQUESTS * STARTED
