Log crashes of endpoints with the content of the calls open at them

A lost connection was logged for each call alone, without the parts of its prompt; whether the endpoint had crashed was nowhere.

No decision uses this yet.

--- a/cranberrysail/errors.py
+++ b/cranberrysail/errors.py
@@ -110,6 +110,7 @@
       sent: True if part of the request may have reached the server.
       started: True if part of the response has arrived.
       refused: True if the server reported that it did not run the call.
+      disconnected: True if the server closed or reset the connection.
     """
 
     def __init__(
@@ -119,11 +120,13 @@
         sent: bool,
         started: bool = False,
         refused: bool = False,
+        disconnected: bool = False,
     ) -> None:
         self.reason = reason
         self.sent = sent
         self.started = started
         self.refused = refused
+        self.disconnected = disconnected
         super().__init__(reason)
 
 
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -1,12 +1,15 @@
 """One attempt to run a call at an endpoint."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 from cranberrysail.errors import UpstreamError
+from cranberrysail.router.bodyframing import BodyFraming
 from cranberrysail.router.call import Call
 from cranberrysail.router.clock import now
 from cranberrysail.router.connpool import ConnectionPool
+from cranberrysail.router.crashdetector import Crash, CrashDetector, OpenCall
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory
 from cranberrysail.router.headercodec import (
@@ -33,6 +36,9 @@
 # Subtracted from the deadline that an endpoint is given: a response must arrive this
 # long before the call's deadline to be of use.
 RESPONSE_MARGIN_S = 0.02
+# An endpoint has begun to answer a call if it has written this many events of it. One
+# that crashes at the first event may have written that.
+MIN_ANSWER_EVENTS = 2
 
 
 class AttemptRunner:
@@ -40,6 +46,7 @@
 
     Attributes:
       connection_pool: Connections to endpoints.
+      crash_detector: Detects crashes of endpoints by lost connections.
     """
 
     def __init__(
@@ -49,6 +56,7 @@
         header_codec: BaseHeaderCodec,
         log: DecisionLog,
         metrics: RouterMetrics,
+        on_crash: Callable[[Crash], None],
     ) -> None:
         """Create a runner.
 
@@ -59,6 +67,7 @@
           header_codec: Translates to and from the platform's HTTP headers.
           log: Log of routing decisions.
           metrics: Counters and latency histograms.
+          on_crash: Called with each crash of an endpoint.
         """
         self._endpoints = endpoints
         self._selector = selector
@@ -68,6 +77,9 @@
         self._detached_tasks: set[asyncio.Task] = set()
         self._attempt_count = 0
         self.connection_pool = ConnectionPool()
+        self.crash_detector = CrashDetector(
+            self.connection_pool, log, metrics, on_crash
+        )
 
     async def run(self, call: Call, choice: Choice) -> Attempt:
         """Send a call to an endpoint and forward the response to the caller.
@@ -116,10 +128,11 @@
     ) -> Attempt:
         endpoint = choice.endpoint
         release = True
+        sent_s = now()
         try:
             attempt = await self._send_and_receive(call, choice, conn, pending_id)
         except UpstreamError as exc:
-            attempt = self._on_connection_failed(call, endpoint, exc)
+            attempt = self._on_connection_failed(call, endpoint, exc, sent_s)
         except asyncio.CancelledError:
             release = not self._detach(call, endpoint, conn)
             raise
@@ -129,9 +142,10 @@
         return replace(attempt, received=_received_response(call, conn))
 
     def _on_connection_failed(
-        self, call: Call, endpoint: Endpoint, exc: UpstreamError
+        self, call: Call, endpoint: Endpoint, exc: UpstreamError, sent_s: float
     ) -> Attempt:
         self._endpoints.connection_failed(endpoint, now(), exc.reason)
+        self._detect_crash(call, endpoint, exc, sent_s)
         if not exc.sent:
             return Attempt(AttemptResult.NOT_SENT, exc.reason)
         self._selector.loads.stats(endpoint).record_response(
@@ -142,6 +156,17 @@
         )
         return Attempt(result, exc.reason)
 
+    def _detect_crash(
+        self, call: Call, endpoint: Endpoint, exc: UpstreamError, sent_s: float
+    ) -> None:
+        if not exc.sent or not exc.disconnected:
+            return
+        answered = call.event_splitter.event_count >= MIN_ANSWER_EVENTS
+        self.crash_detector.disconnected(
+            endpoint,
+            OpenCall(call.head.request_id, call.content_ids, sent_s, answered),
+        )
+
     def _detach(self, call: Call, endpoint: Endpoint, conn: HttpClientConn) -> bool:
         """Keep reading the response of a cancelled call that must not run twice.
 
@@ -160,6 +185,7 @@
         self, call: Call, endpoint: Endpoint, conn: HttpClientConn
     ) -> None:
         endpoint.open_calls += 1
+        sent_s = now()
         try:
             async with asyncio.timeout(max(0.0, call.remaining_s)):
                 await conn.wait_for_head()
@@ -170,6 +196,8 @@
                 await conn.read_up_to(MAX_BUFFERED_BYTES)
         except (TimeoutError, UpstreamError) as exc:
             # The response to a call whose caller left was not received.
+            if isinstance(exc, UpstreamError):
+                self._detect_crash(call, endpoint, exc, sent_s)
             self._log.write(
                 "left_call_ended", id=call.head.request_id, why=str(exc) or "timeout"
             )
@@ -373,7 +401,12 @@
                 await self._forward_events(call, conn, events)
         fault = call.event_splitter.fault_at_end(conn.framing)
         if fault:
-            raise UpstreamError(fault, sent=True, started=True)
+            raise UpstreamError(
+                fault,
+                sent=True,
+                started=True,
+                disconnected=conn.framing is BodyFraming.CLOSE,
+            )
         event_count = call.event_splitter.event_count - events_before
         self._selector.record_event_interval(
             call.service, stats, event_count, stats.last_byte_s - first_data_s
--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -1,6 +1,7 @@
 """State of one call in progress."""
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.headercodec import CallHead, Headers
@@ -10,6 +11,11 @@
 
 __all__ = ["Call"]
 
+# Size of a digest that stands for a request.
+DIGEST_BYTES = 8
+# Longer ids of prompt parts are replaced by their digests.
+MAX_PART_ID_CHARS = 64
+
 
 @dataclass(slots=True)
 class Call:
@@ -52,6 +58,7 @@
     response_started: bool = False
     latency_s: float = 0.0
     endpoint_error: tuple[int, Headers, bytes] | None = None
+    _content_ids: tuple[str, ...] | None = None
 
     @property
     def remaining_s(self) -> float:
@@ -82,3 +89,30 @@
         if self.customer is not None and self.customer.priority is not None:
             return self.customer.priority
         return self.route.priority
+
+    @property
+    def content_ids(self) -> tuple[str, ...]:
+        """Return ids of the content that this call has in common with others.
+
+        They are the parts of its prompt but the last, which belongs to the call or its
+        chat; of a call without those, the digest of its whole request. Each begins with
+        the service, as content may be harmful to the endpoints of one service only.
+        """
+        if self._content_ids is None:
+            shared = dict.fromkeys(map(_short_id, self.head.prompt_parts[:-1]))
+            parts = tuple(shared) or (self._request_digest(),)
+            self._content_ids = tuple(f"{self.service}/{part}" for part in parts)
+        return self._content_ids
+
+    def _request_digest(self) -> str:
+        request = self.request
+        data = b"\0".join(
+            (request.method.encode("latin-1"), request.target, request.body)
+        )
+        return f"request-{blake2b(data, digest_size=DIGEST_BYTES).hexdigest()}"
+
+
+def _short_id(part: str) -> str:
+    if len(part) <= MAX_PART_ID_CHARS:
+        return part
+    return f"part-{blake2b(part.encode(), digest_size=DIGEST_BYTES).hexdigest()}"
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -11,6 +11,7 @@
 from cranberrysail.router.call import Call
 from cranberrysail.router.clock import now
 from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.crashdetector import Crash
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import Endpoint
 from cranberrysail.router.follower import RoutingState
@@ -77,9 +78,12 @@
         self._started_s = now()
         self._budget = RetryBudget(cfg.repeats)
         self.attempt_runner = AttemptRunner(
-            state.endpoints, selector, header_codec, log, metrics
+            state.endpoints, selector, header_codec, log, metrics, self._on_crash
         )
 
+    def _on_crash(self, crash: Crash) -> None:
+        """Do nothing; the detector has logged it."""
+
     def configure(self, cfg: RouterConfig) -> None:
         """Apply changed settings."""
         self._cfg = cfg
--- a/cranberrysail/router/connpool.py
+++ b/cranberrysail/router/connpool.py
@@ -29,6 +29,7 @@
     opened: int = 0
     _idle: dict[tuple[str, int], list[HttpClientConn]] = field(default_factory=dict)
     _open_counts: Counter = field(default_factory=Counter)
+    _open: dict[tuple[str, int], set[HttpClientConn]] = field(default_factory=dict)
 
     async def acquire(self, endpoint: Endpoint, max_connections: int) -> HttpClientConn:
         """Return an idle connection, or open one.
@@ -53,16 +54,20 @@
             self._decrement_open(endpoint)
             raise
         self.opened += 1
+        self._open.setdefault(endpoint.incarnation, set()).add(conn)
         return conn
 
+    def is_connected(self, endpoint: Endpoint) -> bool:
+        """Return whether a connection to an endpoint is open, idle or in use."""
+        return any(conn.is_open for conn in self._open.get(endpoint.incarnation, ()))
+
     def _pop_idle(self, endpoint: Endpoint) -> HttpClientConn | None:
         idle = self._idle.get(endpoint.incarnation, [])
         while idle:
             conn = idle.pop()
             if self._is_reusable(conn):
                 return conn
-            conn.close()
-            self._decrement_open(endpoint)
+            self._close(endpoint, conn)
         return None
 
     def _is_reusable(self, conn: HttpClientConn) -> bool:
@@ -73,6 +78,19 @@
         )
         return conn.can_send and conn.idle_for_s < max_idle_s
 
+    def _close(self, endpoint: Endpoint, conn: HttpClientConn) -> None:
+        conn.close()
+        self._forget(endpoint.incarnation, conn)
+        self._decrement_open(endpoint)
+
+    def _forget(self, incarnation: tuple[str, int], conn: HttpClientConn) -> None:
+        conns = self._open.get(incarnation)
+        if conns is None:
+            return
+        conns.discard(conn)
+        if not conns:
+            del self._open[incarnation]
+
     def _decrement_open(self, endpoint: Endpoint) -> None:
         self._open_counts[endpoint.incarnation] -= 1
         if self._open_counts[endpoint.incarnation] <= 0:
@@ -84,8 +102,7 @@
             conn.mark_idle()
             self._idle.setdefault(endpoint.incarnation, []).append(conn)
             return
-        conn.close()
-        self._decrement_open(endpoint)
+        self._close(endpoint, conn)
 
     def sweep(self, incarnations: set[tuple[str, int]]) -> None:
         """Close idle connections that expired or whose endpoint is no longer known.
@@ -100,6 +117,7 @@
             for conn in idle:
                 if conn not in reusable:
                     conn.close()
+                    self._forget(incarnation, conn)
                     self._open_counts[incarnation] -= 1
             self._idle[incarnation] = reusable
             if not reusable:
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -186,6 +186,29 @@
     return f"endpoint {line.get('endpoint')}: {line.get('change')} ({line.get('why')})"
 
 
+@LINE_FORMATTERS.register("endpoint_crashed")
+def _endpoint_crashed(line: LogLine) -> str:
+    return f"endpoint {line.get('endpoint')} crashed {_open_calls(line)}"
+
+
+@LINE_FORMATTERS.register("connections_ended")
+def _connections_ended(line: LogLine) -> str:
+    return (
+        f"endpoint {line.get('endpoint')} ended connections {_open_calls(line)}; it "
+        f"has not crashed: {line.get('why')}"
+    )
+
+
+def _open_calls(line: LogLine) -> str:
+    content = line.get("content") or {}
+    counts = ", ".join(f"{name} {count}" for name, count in content.items())
+    return (
+        f"with {line.get('calls')} open calls, {line.get('unanswered')} of them "
+        f"unanswered ({', '.join(line.get('requests') or [])}), with content: "
+        f"{counts or 'none'}"
+    )
+
+
 @LINE_FORMATTERS.register("endpoint_leaving")
 def _endpoint_leaving(line: LogLine) -> str:
     return (
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -78,6 +78,7 @@
         self._buffered_bytes = 0
         self._reading_paused = False
         self._failure_reason: str | None = None
+        self._disconnected = False
         self._busy = False
         self._skipping = False
         self._parsed_headers: list[tuple[bytes, bytes]] = []
@@ -145,6 +146,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request."""
         self.reusable = False
+        # Other errors, such as a timeout, tell that the server cannot be reached.
+        if self._failure_reason is None:
+            self._disconnected = exc is None or isinstance(exc, ConnectionError)
         self._fail(f"connection lost ({exc})" if exc else "connection closed")
 
     def on_message_begin(self) -> None:
@@ -251,6 +255,13 @@
             return False
         return not (self._busy and not self.complete) and not self._skipping
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether neither side has ended the connection, as far as known."""
+        if self._failure_reason is not None or self._transport is None:
+            return False
+        return not self._transport.is_closing()
+
     @property
     def waiting(self) -> bool:
         """Return whether a coroutine is waiting for data from the server."""
@@ -307,7 +318,9 @@
         """
         while not self.status:
             if self._failure_reason is not None:
-                raise UpstreamError(self._failure_reason, sent=True)
+                raise UpstreamError(
+                    self._failure_reason, sent=True, disconnected=self._disconnected
+                )
             await self._wait()
 
     async def read(self) -> bytes:
@@ -320,7 +333,12 @@
             if self.complete:
                 return b""
             if self._failure_reason is not None:
-                raise UpstreamError(self._failure_reason, sent=True, started=True)
+                raise UpstreamError(
+                    self._failure_reason,
+                    sent=True,
+                    started=True,
+                    disconnected=self._disconnected,
+                )
             await self._wait()
         data = b"".join(self._chunks)
         self._chunks.clear()
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -305,6 +305,7 @@
         """Cancel all tasks and close all outgoing connections."""
         for task in self._tasks:
             task.cancel()
+        self.call_handler.attempt_runner.crash_detector.close()
         self.call_handler.attempt_runner.connection_pool.close()
         self.follower.sources.close()
         self.load_exchange.close()
