--- a/tests/router/simulatedfleet.py
+++ b/tests/router/simulatedfleet.py
@@ -316,11 +316,12 @@
         name: str = "r1",
         host: str = "10.0.0.1",
         relays: bool = True,
+        zone: str = "a",
     ) -> Router:
         """Start a router and wait until it has read the store."""
         cfg = RouterConfig(
             name,
-            "a",
+            zone,
             f"{host}:{CALLERS_PORT}",
             f"{host}:8001",
             f"{host}:8002",
