Quarantine content on which endpoints crash

Callers saw sound calls fail with those that crash engines; engines ended one after the other on requests with one part in their prompts.

Cause: a lost connection was held against the endpoint only (directory, load, retry budget), never against what the call carried, so the same content went to the next endpoint, at every router and with every repeat.

Content of the calls that were unanswered at a crash is now remembered. An answer to any call with it clears it; crashes at one moment count once; content that is in more of the crashes explains them for other content. After two successive crashes it is suspected: no call for a time, then single ones, one router after the other. After a third it is quarantined for 120 s, doubling. Records are exchanged at once with the first routers of the zone and from there with other zones, and kept in the topic of the routers, which a router reads before it serves.

--- a/cranberrysail/router/admission.py
+++ b/cranberrysail/router/admission.py
@@ -27,6 +27,7 @@
       PAUSED: Every remaining endpoint has asked this router to send nothing for a time.
       ENDPOINT_REFUSED: Endpoints declined the call or could not be connected to.
       TOO_LATE: The deadline passed before the call was executed.
+      CONTENT: Endpoints crash on something that the call carries.
     """
 
     NO_TABLES = "no_tables"
@@ -36,6 +37,7 @@
     PAUSED = "paused"
     ENDPOINT_REFUSED = "endpoint_refused"
     TOO_LATE = "too_late"
+    CONTENT = "content"
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -1,7 +1,6 @@
 """One attempt to run a call at an endpoint."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import replace
 
 from cranberrysail.errors import UpstreamError
@@ -9,7 +8,8 @@
 from cranberrysail.router.call import Call
 from cranberrysail.router.clock import now
 from cranberrysail.router.connpool import ConnectionPool
-from cranberrysail.router.crashdetector import Crash, CrashDetector, OpenCall
+from cranberrysail.router.contentguard import ContentGuard
+from cranberrysail.router.crashdetector import CrashDetector, OpenCall
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory
 from cranberrysail.router.headercodec import (
@@ -53,10 +53,10 @@
         self,
         endpoints: EndpointDirectory,
         selector: Selector,
+        content_guard: ContentGuard,
         header_codec: BaseHeaderCodec,
         log: DecisionLog,
         metrics: RouterMetrics,
-        on_crash: Callable[[Crash], None],
     ) -> None:
         """Create a runner.
 
@@ -64,13 +64,14 @@
           endpoints: Directory in which connection failures and responses are
             recorded.
           selector: Receives the measured loads and latencies.
+          content_guard: Told of crashes of endpoints, and of calls that they answer.
           header_codec: Translates to and from the platform's HTTP headers.
           log: Log of routing decisions.
           metrics: Counters and latency histograms.
-          on_crash: Called with each crash of an endpoint.
         """
         self._endpoints = endpoints
         self._selector = selector
+        self._content_guard = content_guard
         self._header_codec = header_codec
         self._log = log
         self._metrics = metrics
@@ -78,9 +79,13 @@
         self._attempt_count = 0
         self.connection_pool = ConnectionPool()
         self.crash_detector = CrashDetector(
-            self.connection_pool, log, metrics, on_crash
+            self.connection_pool, log, metrics, content_guard.on_crash
         )
 
+    async def wait_until_crash_known(self, endpoint: Endpoint) -> None:
+        """Wait until it is known whether an endpoint has crashed."""
+        await self.crash_detector.wait_until_known(endpoint)
+
     async def run(self, call: Call, choice: Choice) -> Attempt:
         """Send a call to an endpoint and forward the response to the caller.
 
@@ -359,6 +364,8 @@
         stats.record_response(self._latency_ratio(call, elapsed_s), failed, now())
         if failed:
             return
+        if call.route.kind is not CallKind.STREAM:
+            self._content_guard.on_answer(call)
         self._selector.latency.add_sample(call.route.name, elapsed_s)
         if call.route.kind is not CallKind.STREAM:
             self._selector.record_service_time(call.service, elapsed_s)
@@ -389,6 +396,7 @@
         sent_s: float,
     ) -> Attempt:
         first_data_s = 0.0
+        answer_recorded = False
         events_before = call.event_splitter.event_count
         stats = self._selector.loads.stats(endpoint)
         while data := await conn.read():
@@ -397,6 +405,10 @@
                 self._record_response(call, endpoint, pending_id, sent_s, conn.status)
             stats.last_byte_s = now()
             events = call.event_splitter.feed(data)
+            answered = call.event_splitter.event_count >= MIN_ANSWER_EVENTS
+            if answered and not answer_recorded:
+                answer_recorded = True
+                self._content_guard.on_answer(call)
             if events:
                 await self._forward_events(call, conn, events)
         fault = call.event_splitter.fault_at_end(conn.framing)
@@ -407,6 +419,8 @@
                 started=True,
                 disconnected=conn.framing is BodyFraming.CLOSE,
             )
+        if not answer_recorded:
+            self._content_guard.on_answer(call)
         event_count = call.event_splitter.event_count - events_before
         self._selector.record_event_interval(
             call.service, stats, event_count, stats.last_byte_s - first_data_s
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -11,7 +11,7 @@
 from cranberrysail.router.call import Call
 from cranberrysail.router.clock import now
 from cranberrysail.router.config import RouterConfig
-from cranberrysail.router.crashdetector import Crash
+from cranberrysail.router.contentguard import ContentGuard
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import Endpoint
 from cranberrysail.router.follower import RoutingState
@@ -24,6 +24,7 @@
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.model import Customer, Route, RouteTables
 from cranberrysail.router.outcome import Attempt, AttemptResult, NextStep, next_step
+from cranberrysail.router.quarantine import ContentRefusal, ContentStage
 from cranberrysail.router.retrybudget import RetryBudget
 from cranberrysail.router.selector import Choice, Selector
 
@@ -55,6 +56,7 @@
         cfg: RouterConfig,
         state: RoutingState,
         selector: Selector,
+        content_guard: ContentGuard,
         header_codec: BaseHeaderCodec,
         log: DecisionLog,
         metrics: RouterMetrics,
@@ -65,6 +67,7 @@
           cfg: Settings of the router.
           state: Route tables and endpoints known to this router.
           selector: Chooses an endpoint for each attempt.
+          content_guard: Knows the content on which endpoints crash.
           header_codec: Translates to and from the platform's HTTP headers.
           log: Log of routing decisions.
           metrics: Counters and latency histograms.
@@ -72,18 +75,16 @@
         self._cfg = cfg
         self._state = state
         self._selector = selector
+        self._content_guard = content_guard
         self._header_codec = header_codec
         self._log = log
         self._metrics = metrics
         self._started_s = now()
         self._budget = RetryBudget(cfg.repeats)
         self.attempt_runner = AttemptRunner(
-            state.endpoints, selector, header_codec, log, metrics, self._on_crash
+            state.endpoints, selector, content_guard, header_codec, log, metrics
         )
 
-    def _on_crash(self, crash: Crash) -> None:
-        """Do nothing; the detector has logged it."""
-
     def configure(self, cfg: RouterConfig) -> None:
         """Apply changed settings."""
         self._cfg = cfg
@@ -237,6 +238,10 @@
 
     async def _run_attempts(self, call: Call) -> None:
         while True:
+            refusal = self._content_guard.check(call)
+            if refusal is not None:
+                self._on_content_refused(call, refusal)
+                return
             choice = self._selector.choose(
                 call.tables,
                 call.service,
@@ -258,6 +263,9 @@
                 return
             if not self._on_not_delivered(call, choice.endpoint, attempt):
                 return
+            if not self._content_guard.is_known_good(call):
+                # Its content may be what the endpoint has crashed on.
+                await self.attempt_runner.wait_until_crash_known(choice.endpoint)
 
     def _log_placement(self, call: Call, choice: Choice) -> None:
         endpoint = choice.endpoint
@@ -337,6 +345,27 @@
         self._finish_call(call, step)
         return False
 
+    def _on_content_refused(self, call: Call, refusal: ContentRefusal) -> None:
+        self._metrics.count("content_refusals", refusal.stage.value)
+        self._log.write(
+            "content_refused",
+            id=call.head.request_id,
+            content=refusal.content_id,
+            stage=refusal.stage,
+            crashes=refusal.crashes,
+            wait_s=round(refusal.wait_s, 2),
+            ran=call.executions,
+        )
+        if call.executions or call.response_started or call.endpoint_error is not None:
+            self._finish_call(call, NextStep.ANSWER_UNKNOWN)
+            return
+        retry_after_s = self._retry_after_s(refusal.wait_s, call.remaining_s)
+        if refusal.stage is ContentStage.QUARANTINED:
+            # To come back earlier would be in vain.
+            retry_after_s = refusal.wait_s
+        error_code = RefusalReason.CONTENT.value
+        self._send_error(call.caller_conn, call.head, 503, error_code, retry_after_s)
+
     def _on_no_endpoint(self, call: Call, choice: Choice) -> None:
         # "why" tells whether there is no endpoint, all are cold or all are full.
         self._log.write(
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -186,6 +186,27 @@
     return f"endpoint {line.get('endpoint')}: {line.get('change')} ({line.get('why')})"
 
 
+@LINE_FORMATTERS.register("content_refused")
+def _content_refused(line: LogLine) -> str:
+    return (
+        f"not sent: content {line.get('content')} is {line.get('stage')}, as "
+        f"{line.get('crashes')} endpoints crashed while calls with it were unanswered; "
+        f"may be sent in {line.get('wait_s')} s; executed at most {line.get('ran')} "
+        "times"
+    )
+
+
+@LINE_FORMATTERS.register("content_suspected")
+@LINE_FORMATTERS.register("content_quarantined")
+@LINE_FORMATTERS.register("content_cleared")
+def _content_stage(line: LogLine) -> str:
+    return (
+        f"content {line.get('content')}: {str(line.get('kind'))[len('content_') :]} "
+        f"after {line.get('crashes')} crashes of endpoints within "
+        f"{line.get('span_s')} s; before: {line.get('before')}"
+    )
+
+
 @LINE_FORMATTERS.register("endpoint_crashed")
 def _endpoint_crashed(line: LogLine) -> str:
     return f"endpoint {line.get('endpoint')} crashed {_open_calls(line)}"
--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.config import RouterConfig
@@ -14,6 +14,7 @@
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.model import EndpointRecord, RouteTables
 from cranberrysail.router.peers import RouterDirectory, encode_router_record
+from cranberrysail.router.quarantinestore import StoredQuarantine, is_quarantine_key
 from cranberrysail.router.recordcache import RecordCache
 from cranberrysail.router.recordsources import RecordSources
 from cranberrysail.router.store import (
@@ -119,6 +120,7 @@
       log: Log of applied and rejected records.
       decoder: Decodes the platform's records.
       on_tables_changed: Called after newer tables were applied.
+      stored_quarantine: Quarantine records, which are in the topic of the routers.
       tables: Tables of the highest version read, None if there are none yet.
       tables_record: Their record.
       eras: Era of the store of the last snapshot of each topic.
@@ -129,6 +131,7 @@
     log: DecisionLog
     decoder: BaseRecordDecoder
     on_tables_changed: Callable[[], None]
+    stored_quarantine: StoredQuarantine
     tables: RouteTables | None = None
     tables_record: Record | None = None
 
@@ -140,8 +143,13 @@
 
     @property
     def is_loaded(self) -> bool:
-        """Return whether tables and a snapshot of the endpoints have been applied."""
-        return self.tables is not None and Topic.ENDPOINTS in self.eras
+        """Return whether all that is needed to place calls has been applied.
+
+        That is tables and a snapshot of the endpoints, and one of the routers, which
+        has the content that no endpoint may be sent.
+        """
+        has_snapshots = Topic.ENDPOINTS in self.eras and Topic.ROUTERS in self.eras
+        return self.tables is not None and has_snapshots
 
     async def wait_until_loaded(self, max_wait_s: float) -> None:
         """Wait until ``is_loaded`` is true, or for a maximum time."""
@@ -187,7 +195,15 @@
         self._unconfirmed_zones.clear()
 
     def _apply_routers(self, page: Page, restored: bool) -> set[int]:
-        rejected = self.routers.apply(page, now(), restored)
+        quarantine_records = tuple(r for r in page.records if is_quarantine_key(r[0]))
+        self.stored_quarantine.apply(quarantine_records, page.is_snapshot)
+        indexes = [
+            index
+            for index, (key, _) in enumerate(page.records)
+            if not is_quarantine_key(key)
+        ]
+        routers = replace(page, records=tuple(page.records[i] for i in indexes))
+        rejected = {indexes[i] for i in self.routers.apply(routers, now(), restored)}
         for index in rejected:
             self.log.write("router_entry_rejected", key=page.records[index][0][:64])
         return rejected
--- a/cranberrysail/router/loadexchange.py
+++ b/cranberrysail/router/loadexchange.py
@@ -12,7 +12,9 @@
 from cranberrysail.router.loadgossip import LOADS_PATH, MAX_SENT_AGE_S, LoadGossip
 from cranberrysail.router.peers import (
     CONNECT_TIMEOUT_S,
+    QUARANTINE_HEADER,
     VERSION_HEADER,
+    BaseQuarantineSource,
     BaseTablesSource,
     RegisteredRouter,
     RouterDirectory,
@@ -42,6 +44,7 @@
         name: str,
         load_gossip: LoadGossip,
         tables: BaseTablesSource,
+        quarantine: BaseQuarantineSource,
         routers: RouterDirectory,
         log: DecisionLog,
     ) -> None:
@@ -51,11 +54,13 @@
           name: Name of this router.
           load_gossip: Loads to share, and where to merge those of others.
           tables: Tables in force, and where to tell of those of others.
+          quarantine: Where to tell of the quarantine records of others.
           routers: The registered routers.
           log: Log of failed exchanges.
         """
         self._name = name
         self._tables = tables
+        self._quarantine = quarantine
         self._load_gossip = load_gossip
         self._routers = routers
         self._log = log
@@ -99,9 +104,11 @@
             self._backoff_until_s[partner.address] = now() + BACKOFF_S
             self._log.write("loads_not_exchanged", peer=partner.name, why=str(exc))
             return
-        for header, value in response.headers:
-            if header == VERSION_HEADER:
-                self._tables.heard(partner.name, parse_version(value.decode("latin-1")))
+        headers = {name: value.decode("latin-1") for name, value in response.headers}
+        if VERSION_HEADER in headers:
+            version = parse_version(headers[VERSION_HEADER])
+            self._tables.heard(partner.name, version)
+        self._quarantine.heard(partner.name, headers.get(QUARANTINE_HEADER, ""))
         self._last_exchange_s[partner.address] = started_s
 
     def close(self) -> None:
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -182,9 +182,9 @@
         return Page(records, start + len(records), era=era)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
-        """Append a record, unless a fault is set."""
+        """Append a record, unless a fault is set; an empty value removes the key."""
         await self._raise_if_failing()
-        self.append(topic, key, value)
+        self.append(topic, key, value or None)
 
     def close(self) -> None:
         """Do nothing, as there are no connections."""
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -18,6 +18,7 @@
 from cranberrysail.router.httplistener import HttpListener, HttpRequest, HttpServerConn
 from cranberrysail.router.httpstore import HttpStoreClient
 from cranberrysail.router.loadgossip import LOADS_PATH, LoadGossip
+from cranberrysail.router.quarantinegossip import QUARANTINE_PATH
 from cranberrysail.router.recordcache import RecordCache
 from cranberrysail.router.rendezvous import score
 from cranberrysail.router.store import (
@@ -34,6 +35,9 @@
 )
 
 __all__ = [
+    "BaseQuarantineSource",
+    "BaseTablesSource",
+    "QUARANTINE_HEADER",
     "RegisteredRouter",
     "RouterDirectory",
     "PeerStore",
@@ -48,6 +52,8 @@
 TABLES_PATH = "/tables"
 # Response header of an exchange of loads: the version of the tables in force.
 VERSION_HEADER = b"tables-version"
+# Response header of an exchange of loads: the digest of the quarantine records.
+QUARANTINE_HEADER = b"quarantine-digest"
 # Maximum number of digits of a version.
 MAX_VERSION_DIGITS = 18
 # Short, since the peers asked first are in the same zone.
@@ -292,6 +298,22 @@
             return before
         return [*before, self._zone_order(zones[turn % len(zones)])[0]]
 
+    def quarantine_partners(self) -> list[RegisteredRouter]:
+        """Return the routers to which this one sends changed quarantine records.
+
+        They are the first routers of the zone; the first one connects it with the first
+        ones of the other zones.
+        """
+        order = self._zone_order(self._zone)
+        before = order[: self._own_index(order)][:LOAD_PARTNERS]
+        if before:
+            return before
+        return [
+            routers[0]
+            for zone, routers in sorted((self._zone_orders or {}).items())
+            if zone != self._zone
+        ]
+
     def fallback_peers(self) -> list[RegisteredRouter]:
         """Return up to four peers to read from if the store fails.
 
@@ -464,12 +486,43 @@
         """
 
 
+class BaseQuarantineSource(ABC):
+    """The quarantine records of a router, and what it hears of those of others."""
+
+    @property
+    @abstractmethod
+    def digest(self) -> str:
+        """Return a digest of the records, empty if there are none."""
+
+    @abstractmethod
+    def encode(self) -> bytes:
+        """Return a message with the records."""
+
+    @abstractmethod
+    def merge_message(self, message: bytes) -> None:
+        """Merge the records of another router.
+
+        Raises:
+          msgspec.DecodeError: If the message is invalid.
+        """
+
+    @abstractmethod
+    def heard(self, router: str, digest: str) -> None:
+        """Record the digest of another router's records.
+
+        Args:
+          router: Name of the other router.
+          digest: The digest, empty if it has no records.
+        """
+
+
 def create_peer_server(
     cache: RecordCache,
     since_store_read_s: Callable[[Topic], float],
     era: StoreEra,
     load_gossip: LoadGossip,
     tables: BaseTablesSource,
+    quarantine: BaseQuarantineSource,
     on_error: Callable[[BaseException], None],
 ) -> HttpListener:
     """Return a server of recent records and loads for peers.
@@ -481,13 +534,17 @@
       era: Era of the store, which peers may know of first.
       load_gossip: Loads to share, and where to merge those of peers.
       tables: Tables in force, and where to tell of those of peers.
+      quarantine: Quarantine records, and where to merge those of peers.
       on_error: Called with an unexpected exception.
     """
     encode_records = _CachingEncoder()
 
     async def serve(request: HttpRequest, conn: HttpServerConn) -> None:
         if request.path == LOADS_PATH:
-            _exchange_loads(load_gossip, tables, request, conn)
+            _exchange_loads(load_gossip, tables, quarantine, request, conn)
+            return
+        if request.path == QUARANTINE_PATH:
+            _exchange_quarantine(quarantine, request, conn)
             return
         if request.path == TABLES_PATH:
             _send_tables(tables, conn)
@@ -533,6 +590,7 @@
 def _exchange_loads(
     load_gossip: LoadGossip,
     tables: BaseTablesSource,
+    quarantine: BaseQuarantineSource,
     request: HttpRequest,
     conn: HttpServerConn,
 ) -> None:
@@ -549,8 +607,25 @@
         return
     if "router" in query and "tables" in query:
         tables.heard(query["router"][0], parse_version(query["tables"][0]))
-    version = (VERSION_HEADER, str(tables.version).encode())
-    conn.send_response(200, [*BINARY_HEADERS, version], reply)
+    headers = [
+        *BINARY_HEADERS,
+        (VERSION_HEADER, str(tables.version).encode()),
+    ]
+    # The router that asks compares the digests.
+    if quarantine.digest:
+        headers.append((QUARANTINE_HEADER, quarantine.digest.encode()))
+    conn.send_response(200, headers, reply)
+
+
+def _exchange_quarantine(
+    quarantine: BaseQuarantineSource, request: HttpRequest, conn: HttpServerConn
+) -> None:
+    try:
+        quarantine.merge_message(request.body)
+    except msgspec.DecodeError:
+        conn.send_response(400, BINARY_HEADERS, b"a list of records is needed\n")
+        return
+    conn.send_response(200, BINARY_HEADERS, quarantine.encode())
 
 
 def _query(request: HttpRequest) -> dict[str, list[str]]:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -13,6 +13,7 @@
 from cranberrysail.router.callhandler import CallHandler
 from cranberrysail.router.clock import now
 from cranberrysail.router.config import BaseSettingsSource, RouterConfig
+from cranberrysail.router.contentguard import ContentGuard
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import (
     Endpoint,
@@ -28,6 +29,9 @@
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.peers import RouterDirectory, create_peer_server
 from cranberrysail.router.peertables import PeerTables
+from cranberrysail.router.quarantine import ContentStage, Quarantine
+from cranberrysail.router.quarantineexchange import QuarantineExchange
+from cranberrysail.router.quarantinestore import StoredQuarantine
 from cranberrysail.router.selector import Selector
 from cranberrysail.router.store import BaseStore
 
@@ -74,8 +78,20 @@
         self.metrics = RouterMetrics()
         self.endpoints = EndpointDirectory(self._on_endpoint_change)
         self.routers = RouterDirectory(cfg.name, cfg.zone)
+        self.quarantine = Quarantine()
+        self.quarantine_exchange = QuarantineExchange(
+            self.quarantine, self.routers, self.log, self.metrics
+        )
+        self.stored_quarantine = StoredQuarantine(
+            self.quarantine, store, self.log, self.quarantine_exchange.update
+        )
         self.routing_state = RoutingState(
-            self.endpoints, self.routers, self.log, decoder, self._on_tables_changed
+            self.endpoints,
+            self.routers,
+            self.log,
+            decoder,
+            self._on_tables_changed,
+            self.stored_quarantine,
         )
         loads = LoadTracker()
         self.load_gossip = LoadGossip(loads, self.endpoints)
@@ -84,7 +100,12 @@
             self.routing_state, self.routers, self.follower.cache, self.log
         )
         self.load_exchange = LoadExchange(
-            cfg.name, self.load_gossip, self.peer_tables, self.routers, self.log
+            cfg.name,
+            self.load_gossip,
+            self.peer_tables,
+            self.quarantine_exchange,
+            self.routers,
+            self.log,
         )
         self.selector = Selector(
             cfg, self.endpoints, loads, self.routers, random.Random()
@@ -93,6 +114,7 @@
             cfg,
             self.routing_state,
             self.selector,
+            ContentGuard(self.quarantine, self.quarantine_exchange, self.routers),
             header_codec,
             self.log,
             self.metrics,
@@ -147,6 +169,10 @@
             "routers": len(self.routers),
             "tables_version": self.routing_state.tables.version if self.ready else 0,
             "store_era": self.follower.sources.store.era.number,
+            **{
+                f"content_{stage.value}": self.quarantine.stage_counts()[stage]
+                for stage in (ContentStage.SUSPECTED, ContentStage.QUARANTINED)
+            },
             "connections_opened": (
                 self.call_handler.attempt_runner.connection_pool.opened
             ),
@@ -169,6 +195,17 @@
                 f._topic.value: {"failing": f.failing, "age_s": now() - f.last_read_s}
                 for f in self.follower.topic_followers
             },
+            "quarantine": [
+                {
+                    "content": record.content_id,
+                    "stage": self.quarantine.stage(record.content_id).value,
+                    "crashes": len(record.open_crashes()),
+                    "last_crash_s": round(now() - record.last_crash_s, 1),
+                    "for_s": round(max(0.0, record.quarantine_end_s - now()), 1),
+                }
+                for record in self.quarantine.records.values()
+                if record.open_crashes()
+            ],
             "endpoints": [
                 {
                     "name": e.id,
@@ -210,6 +247,7 @@
                 follower.sources.store.era,
                 self.load_gossip,
                 self.peer_tables,
+                self.quarantine_exchange,
                 self._on_unexpected_error,
             ),
         )
@@ -220,6 +258,8 @@
         self._spawn(self.follower.run())
         self._spawn(self.load_exchange.run())
         self._spawn(self.peer_tables.run())
+        self._spawn(self.quarantine_exchange.run())
+        self._spawn(self.stored_quarantine.run())
         self.log.write("started", zone=self.cfg.zone, callers=self.cfg.callers)
 
     async def _listen(self, address: str, listener: HttpListener) -> None:
@@ -309,3 +349,4 @@
         self.call_handler.attempt_runner.connection_pool.close()
         self.follower.sources.close()
         self.load_exchange.close()
+        self.quarantine_exchange.close()
--- /dev/null
+++ b/cranberrysail/router/quarantinestore.py
@@ -0,0 +1,193 @@
+"""Quarantine records in the store, where routers that start find them.
+
+They share the topic of the routers, which every router reads in full when it starts.
+"""
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from cranberrysail.router.clock import now, unix_time
+from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.quarantine import (
+    ContentRecord,
+    ContentStage,
+    CrashEvidence,
+    Quarantine,
+)
+from cranberrysail.router.store import BaseStore, Records, StoreError, Topic
+
+__all__ = ["StoredQuarantine", "is_quarantine_key"]
+
+KEY_PREFIX = "quarantine/"
+# Interval at which records are compared with those in the store.
+COMPARE_INTERVAL_S = 0.25
+# Pause between two writes of a record, in which the first one is read back.
+REWRITE_INTERVAL_S = 1.0
+# A router that has not seen the change itself leaves the write to those that have for
+# this time, and a random time beyond it.
+REMOTE_DELAY_S = 1.0
+REMOTE_SPREAD_S = 2.0
+# Records beyond this number are not written.
+MAX_STORED = 32
+
+# The crashes, whether it is quarantined, and how often it was.
+_Signature = tuple[tuple[int, ...], bool, int]
+
+
+class _StoredRecord(msgspec.Struct):
+    """A record in the store; times are in Unix milliseconds.
+
+    Attributes:
+      crashes: Hash value of the endpoint's incarnation, time of the crash, and time at
+        which the content was last sent there.
+      quarantined: Time at which the content was quarantined, None if it was not.
+    """
+
+    crashes: list[tuple[int, int, int]]
+    quarantined: int | None = None
+    quarantines: int = 0
+
+
+def is_quarantine_key(key: str) -> bool:
+    """Return whether a key of the topic of routers holds a quarantine record."""
+    return key.startswith(KEY_PREFIX)
+
+
+def _to_unix_ms(time_s: float) -> int:
+    return round((unix_time() - (now() - time_s)) * 1000)
+
+
+def _from_unix_ms(unix_ms: int) -> float:
+    # Clocks of hosts differ; nothing in the store lies in the future.
+    return now() - max(0.0, unix_time() - unix_ms / 1000)
+
+
+def _encode(record: ContentRecord) -> bytes:
+    quarantined = None
+    if not math.isinf(record.quarantined_s):
+        quarantined = _to_unix_ms(record.quarantined_s)
+    crashes = [
+        (key, _to_unix_ms(e.at_s), _to_unix_ms(e.sent_s))
+        for key, e in record.open_crashes().items()
+    ]
+    return msgspec.json.encode(_StoredRecord(crashes, quarantined, record.quarantines))
+
+
+def _decode(content_id: str, value: bytes) -> ContentRecord:
+    stored = msgspec.json.decode(value, type=_StoredRecord)
+    crashes = {
+        key: CrashEvidence(_from_unix_ms(at), _from_unix_ms(sent))
+        for key, at, sent in stored.crashes
+    }
+    record = ContentRecord(content_id, crashes, quarantines=max(0, stored.quarantines))
+    if stored.quarantined is not None:
+        record.quarantined_s = _from_unix_ms(stored.quarantined)
+    return record
+
+
+def _signature(record: ContentRecord) -> _Signature:
+    return (
+        tuple(sorted(record.open_crashes())),
+        now() < record.quarantine_end_s,
+        record.quarantines,
+    )
+
+
+class StoredQuarantine:
+    """Reads quarantine records from the store and writes those that it lacks."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        store: BaseStore,
+        log: DecisionLog,
+        on_merged: Callable[[], None],
+    ) -> None:
+        """Create an instance for one router.
+
+        Args:
+          quarantine: The records of this router.
+          store: The store.
+          log: Log of failed writes and invalid records.
+          on_merged: Called after records of the store were merged.
+        """
+        self._quarantine = quarantine
+        self._store = store
+        self._log = log
+        self._on_merged = on_merged
+        self._stored: dict[str, _Signature] = {}
+        self._write_at_s: dict[str, float] = {}
+
+    def apply(self, records: Records, is_snapshot: bool) -> None:
+        """Merge records of the store.
+
+        Args:
+          records: Keys and values, None for a record that was removed.
+          is_snapshot: True if they are all that the store has.
+        """
+        if is_snapshot:
+            self._stored.clear()
+        for key, value in records:
+            content_id = key.removeprefix(KEY_PREFIX)
+            if not value:
+                self._stored.pop(content_id, None)
+                continue
+            try:
+                record = _decode(content_id, value)
+            except (msgspec.DecodeError, OverflowError) as exc:
+                self._log.write("content_rejected", key=key[:64], why=str(exc))
+                continue
+            self._stored[content_id] = _signature(record)
+            self._quarantine.merge(record)
+        if records:
+            self._on_merged()
+
+    async def run(self) -> None:
+        """Write changed records, and remove those that ended, until cancelled."""
+        while True:
+            await asyncio.sleep(COMPARE_INTERVAL_S)
+            for content_id in self._find_changed():
+                await self._write(content_id)
+
+    def _find_changed(self) -> list[str]:
+        """Return the content whose record in the store is to be replaced now."""
+        wanted = self._wanted()
+        changed = [
+            content_id
+            for content_id in wanted.keys() | self._stored.keys()
+            if wanted.get(content_id) != self._stored.get(content_id)
+        ]
+        self._write_at_s = {
+            content_id: self._write_at_s.get(
+                content_id, now() + self._delay_s(content_id)
+            )
+            for content_id in changed
+        }
+        return sorted(i for i, at_s in self._write_at_s.items() if now() >= at_s)
+
+    def _wanted(self) -> dict[str, _Signature]:
+        return {
+            record.content_id: _signature(record)
+            for record in self._quarantine.shared_records(now())[:MAX_STORED]
+            if self._quarantine.stage(record.content_id) is not ContentStage.OBSERVED
+        }
+
+    def _delay_s(self, content_id: str) -> float:
+        record = self._quarantine.records.get(content_id)
+        if record is not None and record.local:
+            return 0.0
+        return REMOTE_DELAY_S + REMOTE_SPREAD_S * random.random()
+
+    async def _write(self, content_id: str) -> None:
+        value = b""
+        if content_id in self._wanted():
+            value = _encode(self._quarantine.records[content_id])
+        self._write_at_s[content_id] = now() + REWRITE_INTERVAL_S
+        try:
+            await self._store.put(Topic.ROUTERS, KEY_PREFIX + content_id, value)
+        except StoreError as exc:
+            self._log.write("content_not_stored", content=content_id, why=str(exc))
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -174,7 +174,7 @@
 
     @abstractmethod
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
-        """Write a record.
+        """Write a record, or remove it by an empty value.
 
         Raises:
           StoreError: If the store returns no usable response; the record may
