Content is suspected by how rarely its crashes come by chance, and by no crash that other content explains

Where many calls meet crashes that have nothing to do with some content, more crashes in a row are required of it: a call meets so many by chance with a probability of 0.001.

--- a/cranberrysail/router/contentguard.py
+++ b/cranberrysail/router/contentguard.py
@@ -30,7 +30,12 @@
     def on_crash(self, crash: Crash) -> None:
         """Record the content of the calls that were unanswered at a crash."""
         self.quarantine.record_crash(
-            incarnation_hash(crash), crash.at_s, crash.unanswered_ids()
+            crash.endpoint.record.service,
+            incarnation_hash(crash),
+            crash.at_s,
+            crash.unanswered_ids(),
+            sum(not call.answered for call in crash.calls),
+            now(),
         )
         self.exchange.update()
 
--- a/cranberrysail/router/quarantine.py
+++ b/cranberrysail/router/quarantine.py
@@ -19,7 +19,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -32,15 +32,21 @@
     "StageChange",
 ]
 
-# Successive crashes after which content is suspected and quarantined. Content that an
-# endpoint has answered lately needs one more.
+# Successive crashes after which content is suspected, at least and at most. It is
+# quarantined after one more than are required.
 SUSPECTED_CRASHES = 2
-QUARANTINED_CRASHES = 3
-# Crashes, at whatever times, after which content is quarantined that has never been
-# answered.
+MAX_SUSPECTED_CRASHES = 4
+# More are required where crashes are frequent, so that a call meets that many in a row
+# by chance with this probability, but no more than the maximum.
+CHANCE_PROBABILITY = 0.001
+MAX_REQUIRED_CRASHES = 6
+# Crashes, at whatever times, after which content is quarantined that has not been
+# answered lately.
 QUARANTINED_TOTAL = 5
-# Crashes that cannot be told apart by their content need one more.
-INDISTINCT_CRASHES = 4
+# The share of calls that meet a crash is that of this last time, in which this number
+# of answers beyond those that were seen is assumed.
+OUTCOME_WINDOW_S = 10.0
+ASSUMED_ANSWERS = 20
 # Answers to calls are remembered for this time.
 ANSWER_MEMORY_S = 60.0
 # Evidence of a crash counts towards a quarantine once other routers have had time to
@@ -49,7 +55,7 @@
 # Time without any call after the second crash on suspected content; it doubles with
 # each further crash.
 HOLD_S = 1.0
-MAX_HOLD_S = 4.0
+MAX_HOLD_S = 2.0
 # After that the routers may send a call one after the other, at this interval, but all
 # of them within the maximum.
 TRIAL_STAGGER_S = 0.5
@@ -212,10 +218,12 @@
 
     Attributes:
       evidence: The crashes, in order of time.
+      required: Successive crashes that are not put down to chance.
       distinct: False if other content is in the same crashes.
     """
 
     evidence: tuple[CrashEvidence, ...]
+    required: int
     distinct: bool
 
 
@@ -232,6 +240,51 @@
     return tuple(sorted(evidence, key=lambda e: e.at_s))
 
 
+@dataclass
+class _Outcomes:
+    """Outcomes of this router's calls at the endpoints of one service, of late.
+
+    Attributes:
+      answers: Second and number of answers in it, oldest first.
+      crashes: Time of each crash and calls that were unanswered at it, by hash value of
+        the endpoint's incarnation.
+      recent: Time and content of the last answers.
+    """
+
+    answers: deque[list[int]] = field(default_factory=deque)
+    crashes: dict[int, tuple[float, int]] = field(default_factory=dict)
+    recent: deque[tuple[float, frozenset[str]]] = field(
+        default_factory=lambda: deque(maxlen=RECENT_ANSWERS)
+    )
+
+    def add_answer(self, content_ids: tuple[str, ...], now: float) -> None:
+        second = int(now)
+        if not self.answers or self.answers[-1][0] != second:
+            self.answers.append([second, 0])
+            self._forget_old(now)
+        self.answers[-1][1] += 1
+        self.recent.append((now, frozenset(content_ids)))
+
+    def add_crash(self, incarnation: int, at_s: float, calls: int, now: float) -> None:
+        self._forget_old(now)
+        self.crashes[incarnation] = (at_s, calls)
+
+    def _forget_old(self, now: float) -> None:
+        while self.answers and self.answers[0][0] < now - OUTCOME_WINDOW_S:
+            self.answers.popleft()
+        for incarnation, (at_s, _) in list(self.crashes.items()):
+            if at_s < now - OUTCOME_WINDOW_S:
+                del self.crashes[incarnation]
+
+    def crash_share(self, excluded: Set[int]) -> float:
+        """Return the share of calls that met a crash, without the excluded ones."""
+        lost = sum(
+            calls for key, (_, calls) in self.crashes.items() if key not in excluded
+        )
+        answers = sum(count for _, count in self.answers)
+        return lost / (lost + answers + ASSUMED_ANSWERS)
+
+
 class Quarantine:
     """Content on which endpoints crash, as far as this router knows."""
 
@@ -239,9 +292,9 @@
         self._records: dict[str, ContentRecord] = {}
         self._blames: dict[str, _Blame] = {}
         self._stages: dict[str, ContentStage] = {}
-        # Last answers by content, oldest first, and by service.
+        # Last answers by content, oldest first.
         self._answered: dict[str, float] = {}
-        self._recent: dict[str, deque[tuple[float, frozenset[str]]]] = {}
+        self._outcomes: dict[str, _Outcomes] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -293,16 +346,27 @@
     # Evidence
 
     def record_crash(
-        self, incarnation: int, at_s: float, last_sent_s: dict[str, float]
+        self,
+        service: str,
+        incarnation: int,
+        at_s: float,
+        last_sent_s: dict[str, float],
+        calls: int,
+        now: float,
     ) -> None:
         """Record that an endpoint crashed.
 
         Args:
+          service: The endpoint's service.
           incarnation: Hash value of the endpoint's incarnation.
           at_s: Time of the crash.
           last_sent_s: Content of the calls that were unanswered at it, with the times
             at which it was last sent there.
+          calls: Number of these calls.
+          now: Current time in seconds.
         """
+        outcomes = self._outcomes.setdefault(service, _Outcomes())
+        outcomes.add_crash(incarnation, at_s, calls, now)
         for content_id, sent_s in last_sent_s.items():
             record = self._find_or_add(content_id)
             record.add_crash(incarnation, CrashEvidence(at_s, sent_s))
@@ -324,10 +388,10 @@
                 cleared |= self._clear(record, now)
         while len(self._answered) > MAX_ANSWERED:
             del self._answered[next(iter(self._answered))]
-        if self._records and content_ids:
+        if content_ids:
             service = content_ids[0].partition("/")[0]
-            recent = self._recent.setdefault(service, deque(maxlen=RECENT_ANSWERS))
-            recent.append((now, frozenset(content_ids)))
+            outcomes = self._outcomes.setdefault(service, _Outcomes())
+            outcomes.add_answer(content_ids, now)
         return cleared
 
     def _clear(self, record: ContentRecord, now: float) -> bool:
@@ -436,11 +500,10 @@
         }
         blames: dict[str, _Blame] = {}
 
-        def strength(content_id: str) -> tuple[bool, bool, int, int]:
+        def strength(content_id: str) -> tuple[bool, int, int]:
             record = self._records[content_id]
             evidence = _in_order(unexplained[content_id].values())
             return (
-                now < record.quarantine_end_s,
                 not record.was_answered_lately(now),
                 _count_successive(evidence),
                 len(evidence),
@@ -448,20 +511,24 @@
 
         while unexplained:
             best = max(unexplained, key=strength)
-            _, unanswered, successive, _ = strength(best)
-            if not self._is_suspicious(unanswered, successive):
+            unanswered, successive, _ = strength(best)
+            explained = unexplained[best].keys()
+            required = self._required_crashes(self._records[best], now)
+            least = min(required, MAX_SUSPECTED_CRASHES)
+            # Once it is quarantined, only other content can explain its crashes.
+            if now < self._records[best].quarantine_end_s:
+                least = SUSPECTED_CRASHES
+            if successive < least:
                 del unexplained[best]
                 continue
-            explained = unexplained[best].keys()
             group = [
                 content_id
                 for content_id, crashes in unexplained.items()
-                if crashes.keys() == explained
-                and strength(content_id)[:2] == strength(best)[:2]
+                if crashes.keys() == explained and strength(content_id)[0] == unanswered
             ]
             for content_id in group:
                 evidence = _in_order(unexplained.pop(content_id).values())
-                blames[content_id] = _Blame(evidence, distinct=len(group) == 1)
+                blames[content_id] = _Blame(evidence, required, len(group) == 1)
             unexplained = {
                 content_id: rest
                 for content_id, crashes in unexplained.items()
@@ -469,9 +536,16 @@
             }
         return blames
 
-    @staticmethod
-    def _is_suspicious(unanswered: bool, successive: int) -> bool:
-        return successive >= SUSPECTED_CRASHES + (not unanswered)
+    def _required_crashes(self, record: ContentRecord, now: float) -> int:
+        """Return the number of successive crashes that are not put down to chance."""
+        required = SUSPECTED_CRASHES
+        outcomes = self._outcomes.get(record.service)
+        share = outcomes.crash_share(record.crashes.keys()) if outcomes else 0.0
+        if share > 0:
+            by_chance = math.log(CHANCE_PROBABILITY) / math.log(share)
+            required = max(required, math.ceil(by_chance))
+        required += record.was_answered_lately(now)
+        return min(required, MAX_REQUIRED_CRASHES)
 
     def _is_proven(self, record: ContentRecord, blame: _Blame, now: float) -> bool:
         if record.last_crash_s <= record.quarantined_s:
@@ -479,11 +553,10 @@
         if not self._are_others_answered(record, blame):
             return False
         settled = [e for e in blame.evidence if now - e.at_s >= SETTLING_S]
-        if record.was_answered_lately(now):
-            return _count_successive(settled) > QUARANTINED_CRASHES
-        if len(settled) >= QUARANTINED_TOTAL:
+        least = blame.required + 1 + (not blame.distinct)
+        total = max(QUARANTINED_TOTAL, least)
+        if len(settled) >= total and not record.was_answered_lately(now):
             return True
-        least = QUARANTINED_CRASHES if blame.distinct else INDISTINCT_CRASHES
         return _count_successive(settled) >= least
 
     def _are_others_answered(self, record: ContentRecord, blame: _Blame) -> bool:
@@ -492,17 +565,18 @@
         Otherwise the endpoints may crash whatever they are sent.
         """
         since_s = blame.evidence[0].at_s
-        return any(
+        outcomes = self._outcomes.get(record.service)
+        return outcomes is not None and any(
             at_s >= since_s and record.content_id not in content_ids
-            for at_s, content_ids in self._recent.get(record.service, ())
+            for at_s, content_ids in outcomes.recent
         )
 
     def _judge(self, record: ContentRecord, now: float) -> ContentStage:
+        if record.content_id not in self._blames:
+            return ContentStage.OBSERVED
         if now < record.quarantine_end_s:
             return ContentStage.QUARANTINED
-        if record.content_id in self._blames:
-            return ContentStage.SUSPECTED
-        return ContentStage.OBSERVED
+        return ContentStage.SUSPECTED
 
     def check(
         self,
--- a/tests/router/test_harmful_content.py
+++ b/tests/router/test_harmful_content.py
@@ -21,6 +21,14 @@
     "every-three-seconds": Setting(interval_s=3.0, duration_s=60.0),
     "with-companions": Setting(companions=2),
     "crashes-by-chance-too": Setting(routers=6, random_crashes_per_s=1.0),
+    "head-then-crash": Setting(writes_before_crash="head", attempts=2, renames=True),
+    "unframed-head-then-crash": Setting(writes_before_crash="head", framed=False),
+    "part-of-event-then-reset": Setting(
+        writes_before_crash="event", resets=True, attempts=2
+    ),
+    "unframed-event-then-close": Setting(
+        writes_before_crash="event", framed=False, renames=True
+    ),
     "195-routers": Setting(
         routers=195, zones=5, engines=40, interval_s=0.3, duration_s=20.0
     ),
