Tests of the quarantine's decisions, its records in the store, and of what must not be refused

Engines that crash on all calls for 7 s, or many at once, leave nothing refused for long: an answer to other calls between the last two crashes is what tells harmful content from broken engines.

--- a/cranberrysail/router/quarantinegossip.py
+++ b/cranberrysail/router/quarantinegossip.py
@@ -5,8 +5,9 @@
 import msgspec
 from xxhash import xxh32_intdigest
 
+from cranberrysail.router.contentrecord import ContentRecord, CrashEvidence
 from cranberrysail.router.crashdetector import Crash
-from cranberrysail.router.quarantine import ContentRecord, CrashEvidence, Quarantine
+from cranberrysail.router.quarantine import Quarantine
 
 __all__ = ["QUARANTINE_PATH", "ContentItem", "QuarantineGossip", "incarnation_hash"]
 
--- a/cranberrysail/router/quarantinestore.py
+++ b/cranberrysail/router/quarantinestore.py
@@ -11,13 +11,9 @@
 import msgspec
 
 from cranberrysail.router.clock import now, unix_time
+from cranberrysail.router.contentrecord import ContentRecord, CrashEvidence
 from cranberrysail.router.decisionlog import DecisionLog
-from cranberrysail.router.quarantine import (
-    ContentRecord,
-    ContentStage,
-    CrashEvidence,
-    Quarantine,
-)
+from cranberrysail.router.quarantine import ContentStage, Quarantine
 from cranberrysail.router.store import BaseStore, Records, StoreError, Topic
 
 __all__ = ["StoredQuarantine", "is_quarantine_key"]
--- a/tests/router/harmfulcontent.py
+++ b/tests/router/harmfulcontent.py
@@ -19,6 +19,7 @@
 FATAL_CRASHES = 5
 MAX_LATER_CALLS = 3
 MIN_SOUND_SHARE = 0.5
+MIN_SOUND_CALLS = 20
 
 CRASH_DELAY_S = 0.06
 RESTART_DELAY_S = 2.5
@@ -365,6 +366,16 @@
         reached = sum(c.attempt in self.arrivals for c in sound)
         return reached / max(1, len(sound))
 
+    def keeps_sound_calls(self) -> bool:
+        """Return whether enough sound calls begin once the harmful ones are known."""
+        from_s = self.fatal_s + 2 * STABILITY_WINDOW_S
+        to_s = self.setting.duration_s
+        sent = [c for c in self.calls if not c.harmful and from_s <= c.sent_s < to_s]
+        if len(sent) < MIN_SOUND_CALLS:
+            return True
+        before = self.sound_share(0.0, self.setting.first_s)
+        return self.sound_share(from_s, to_s) >= MIN_SOUND_SHARE * before
+
     def refused_sound(self, from_s: float = 0.0) -> list[SentCall]:
         """Return the sound calls that were refused for their content."""
         return [
