--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -177,9 +177,9 @@
     _set_out_of_service(RowKind.HOST, name, log, False)
 
 
-def _fetch(url: str, token: str) -> str:
-    """Return the body of an operator listener's response to a GET request."""
-    request = urllib.request.Request(url)
+def _fetch(url: str, token: str, body: bytes | None = None) -> str:
+    """Return the body of the response to GET, or to POST if there is a body."""
+    request = urllib.request.Request(url, data=body)
     if token:
         request.add_header("Authorization", f"Bearer {token}")
     try:
@@ -200,6 +200,20 @@
     typer.echo(_fetch(f"{operators.rstrip('/')}/dump", token))
 
 
+@app.command("lift-quarantine")
+def lift_quarantine(
+    content: Annotated[
+        str, typer.Argument(help="Id of the content, as in the state and the log.")
+    ],
+    router: Annotated[
+        str, typer.Option(help="Base URL of the metrics listener of any router.")
+    ],
+) -> None:
+    """Let calls with content on which endpoints crashed be sent again."""
+    url = f"{router.rstrip('/')}/quarantine/lift"
+    typer.echo(_fetch(url, "", content.encode()).rstrip())
+
+
 @app.command()
 def explain(
     request_id: Annotated[str, typer.Argument(help="Id of the request.")],
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -46,6 +46,8 @@
 # If maintenance starts later than planned by more than this, the host is taken to have
 # been suspended.
 SUSPENSION_THRESHOLD_S = 1.0
+# Path at which operators lift a quarantine; the body is the id of the content.
+LIFT_PATH = "/quarantine/lift"
 # Interval of the check of the settings file, which may change without a signal.
 SETTINGS_POLL_S = 1.0
 # Time reserved at the end of a graceful shutdown to close connections.
@@ -221,6 +223,14 @@
             ],
         }
 
+    def _lift_quarantine(self, body: bytes) -> tuple[int, bytes]:
+        content_id = body.decode("utf-8", "replace").strip()
+        if not self.quarantine.lift(content_id, now()):
+            return 404, b"nothing is held against this content; see /state\n"
+        self.log.write("quarantine_lifted", content=content_id)
+        self.quarantine_exchange.update()
+        return 200, b"lifted\n"
+
     def _dump_page(self) -> tuple[int, bytes]:
         return 200, msgspec.json.encode(self.dump())
 
@@ -236,7 +246,10 @@
         )
         pages = {"/metrics": self._metrics_page, "/state": self._dump_page}
         await self._listen(
-            self.cfg.admin, create_page_server(pages, self._on_unexpected_error)
+            self.cfg.admin,
+            create_page_server(
+                pages, self._on_unexpected_error, {LIFT_PATH: self._lift_quarantine}
+            ),
         )
         follower = self.follower
         await self._listen(
