--- a/cranberrysail/router/contentrecord.py
+++ b/cranberrysail/router/contentrecord.py
@@ -16,6 +16,7 @@
 # Duration of the first quarantine; it doubles with each further one.
 QUARANTINE_S = 120.0
 MAX_QUARANTINE_S = 3600.0
+MAX_DOUBLINGS = 5
 # Answers to calls are remembered for this time.
 ANSWER_MEMORY_S = 60.0
 # Maximum number of crashes in a record.
@@ -75,7 +76,7 @@
         """Return the time until which it is quarantined."""
         if self.quarantined_s <= self.answered_s:
             return -math.inf
-        doublings = max(0, self.quarantines - 1)
+        doublings = min(max(0, self.quarantines - 1), MAX_DOUBLINGS)
         return self.quarantined_s + min(QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
 
     def open_crashes(self) -> dict[int, CrashEvidence]:
--- a/cranberrysail/router/quarantineexchange.py
+++ b/cranberrysail/router/quarantineexchange.py
@@ -64,11 +64,12 @@
         self._digests: dict[str, str] = {}
         self._heard: set[str] = set()
         self._wake = asyncio.Event()
+        self._digest = ""
 
     @property
     def digest(self) -> str:
-        """Return a digest of the records, empty if there are none."""
-        return self._gossip.digest(now()) if len(self._quarantine) else ""
+        """Return a digest of the records as of the last update, empty if none."""
+        return self._digest
 
     def encode(self) -> bytes:
         """Return a message with the records."""
@@ -94,6 +95,7 @@
         """Judge the evidence anew and share what has changed."""
         for change in self._quarantine.update(now()):
             self._report(change)
+        self._digest = self._gossip.digest(now())
         self._wake.set()
 
     def _report(self, change: StageChange) -> None:
@@ -145,15 +147,12 @@
             response = await client.request(
                 "quarantine", "POST", QUARANTINE_PATH, self.encode(), RESPONSE_TIMEOUT_S
             )
-            before = self.digest
-            self._gossip.merge_message(response.body, now())
+            self.merge_message(response.body)
         except (StoreError, msgspec.DecodeError) as exc:
             self._backoff_until_s[partner.name] = now() + BACKOFF_S
             self._log.write("content_not_shared", peer=partner.name, why=str(exc))
             return
         self._digests[partner.name] = self.digest
-        if self.digest != before:
-            self.update()
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/router/test_quarantinestore.py
+++ b/tests/router/test_quarantinestore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from cranberrysail.router.decisionlog import DecisionLog
@@ -109,6 +110,25 @@
     assert not len(run_virtual(case))
 
 
+@pytest.mark.parametrize(
+    "item",
+    [
+        ("s/x", [], None, None, 2**62),
+        ("s/x", [(1, 2**62, 2**62)], 2**62, 0, 2**62),
+        ("s/x", [(number, 0, 0) for number in range(5000)], -5, -5, -5),
+        ("x" * 100_000, [], 0, 0, 0),
+        ("", [], 0, 0, 0),
+    ],
+)
+def test_extreme_values_in_a_message_are_harmless(item):
+    quarantine = Quarantine()
+    gossip = QuarantineGossip(quarantine)
+    gossip.merge_message(msgspec.msgpack.encode([item] * 2), 100.0)
+    quarantine.update(100.0)
+    assert len(gossip.encode(100.0)) < 1000
+    assert len(quarantine) <= 1
+
+
 def test_routers_that_know_the_same_have_the_same_digest():
     quarantine, other = Quarantine(), Quarantine()
     now = convict(quarantine)
