--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -1,7 +1,8 @@
 """State of one call in progress."""
 
 from dataclasses import dataclass, field
-from hashlib import blake2b
+
+from xxhash import xxh3_128_hexdigest
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.headercodec import CallHead, Headers
@@ -11,8 +12,6 @@
 
 __all__ = ["Call"]
 
-# Size of a digest that stands for a request.
-DIGEST_BYTES = 8
 # Longer ids of prompt parts are replaced by their digests.
 MAX_PART_ID_CHARS = 64
 
@@ -109,10 +108,10 @@
         data = b"\0".join(
             (request.method.encode("latin-1"), request.target, request.body)
         )
-        return f"request-{blake2b(data, digest_size=DIGEST_BYTES).hexdigest()}"
+        return f"request-{xxh3_128_hexdigest(data)}"
 
 
 def _short_id(part: str) -> str:
     if len(part) <= MAX_PART_ID_CHARS:
         return part
-    return f"part-{blake2b(part.encode(), digest_size=DIGEST_BYTES).hexdigest()}"
+    return f"part-{xxh3_128_hexdigest(part.encode())}"
