--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -36,9 +36,6 @@
 # Subtracted from the deadline that an endpoint is given: a response must arrive this
 # long before the call's deadline to be of use.
 RESPONSE_MARGIN_S = 0.02
-# An endpoint has begun to answer a call if it has written this many events of it. One
-# that crashes at the first event may have written that.
-MIN_ANSWER_EVENTS = 2
 
 
 class AttemptRunner:
@@ -133,11 +130,10 @@
     ) -> Attempt:
         endpoint = choice.endpoint
         release = True
-        sent_s = now()
         try:
             attempt = await self._send_and_receive(call, choice, conn, pending_id)
         except UpstreamError as exc:
-            attempt = self._on_connection_failed(call, endpoint, exc, sent_s)
+            attempt = self._on_connection_failed(call, endpoint, exc)
         except asyncio.CancelledError:
             release = not self._detach(call, endpoint, conn)
             raise
@@ -147,10 +143,10 @@
         return replace(attempt, received=_received_response(call, conn))
 
     def _on_connection_failed(
-        self, call: Call, endpoint: Endpoint, exc: UpstreamError, sent_s: float
+        self, call: Call, endpoint: Endpoint, exc: UpstreamError
     ) -> Attempt:
         self._endpoints.connection_failed(endpoint, now(), exc.reason)
-        self._detect_crash(call, endpoint, exc, sent_s)
+        self._detect_crash(call, endpoint, exc)
         if not exc.sent:
             return Attempt(AttemptResult.NOT_SENT, exc.reason)
         self._selector.loads.stats(endpoint).record_response(
@@ -161,16 +157,16 @@
         )
         return Attempt(result, exc.reason)
 
-    def _detect_crash(
-        self, call: Call, endpoint: Endpoint, exc: UpstreamError, sent_s: float
-    ) -> None:
+    def _detect_crash(self, call: Call, endpoint: Endpoint, exc: UpstreamError) -> None:
         if not exc.sent or not exc.disconnected:
             return
-        answered = call.event_splitter.event_count >= MIN_ANSWER_EVENTS
-        self.crash_detector.disconnected(
-            endpoint,
-            OpenCall(call.head.request_id, call.content_ids, sent_s, answered),
+        open_call = OpenCall(
+            call.head.request_id,
+            call.content_ids,
+            call.attempt_sent_s,
+            call.is_being_answered,
         )
+        self.crash_detector.disconnected(endpoint, open_call)
 
     def _detach(self, call: Call, endpoint: Endpoint, conn: HttpClientConn) -> bool:
         """Keep reading the response of a cancelled call that must not run twice.
@@ -190,7 +186,6 @@
         self, call: Call, endpoint: Endpoint, conn: HttpClientConn
     ) -> None:
         endpoint.open_calls += 1
-        sent_s = now()
         try:
             async with asyncio.timeout(max(0.0, call.remaining_s)):
                 await conn.wait_for_head()
@@ -202,7 +197,7 @@
         except (TimeoutError, UpstreamError) as exc:
             # The response to a call whose caller left was not received.
             if isinstance(exc, UpstreamError):
-                self._detect_crash(call, endpoint, exc, sent_s)
+                self._detect_crash(call, endpoint, exc)
             self._log.write(
                 "left_call_ended", id=call.head.request_id, why=str(exc) or "timeout"
             )
@@ -244,8 +239,7 @@
         sent_s = now()
         bodiless = call.request.method == "HEAD"
         conn.send(self._request_bytes(call, choice), matches_request, bodiless)
-        call.executions += 1
-        call.attempts_sent += 1
+        call.begin_attempt()
         await conn.wait_for_head()
         response = self._header_codec.response_head(conn.status, conn.headers)
         self._record_wishes(endpoint, request_id, conn.status, response)
@@ -397,7 +391,6 @@
     ) -> Attempt:
         first_data_s = 0.0
         answer_recorded = False
-        events_before = call.event_splitter.event_count
         stats = self._selector.loads.stats(endpoint)
         while data := await conn.read():
             if not first_data_s:
@@ -405,8 +398,7 @@
                 self._record_response(call, endpoint, pending_id, sent_s, conn.status)
             stats.last_byte_s = now()
             events = call.event_splitter.feed(data)
-            answered = call.event_splitter.event_count >= MIN_ANSWER_EVENTS
-            if answered and not answer_recorded:
+            if call.is_being_answered and not answer_recorded:
                 answer_recorded = True
                 self._content_guard.on_answer(call)
             if events:
@@ -421,7 +413,7 @@
             )
         if not answer_recorded:
             self._content_guard.on_answer(call)
-        event_count = call.event_splitter.event_count - events_before
+        event_count = call.event_splitter.event_count - call.events_before_attempt
         self._selector.record_event_interval(
             call.service, stats, event_count, stats.last_byte_s - first_data_s
         )
--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -12,6 +12,8 @@
 
 __all__ = ["Call"]
 
+# Events of a stream after which an endpoint has begun to answer.
+MIN_ANSWER_EVENTS = 2
 # Longer ids of prompt parts are replaced by their digests.
 MAX_PART_ID_CHARS = 64
 
@@ -37,6 +39,8 @@
       latency_s: Time from the call's arrival to the first data of a stream, of the last
         attempt that got any, or until another response was buffered or found too large
         for that; 0 before that and if there were only error responses (5xx).
+      attempt_sent_s: Time at which the request of the last attempt was sent.
+      events_before_attempt: Complete events of the stream before the last attempt.
       endpoint_error: Last error response of an endpoint, which is sent to the caller
         if no other attempt succeeds.
     """
@@ -56,6 +60,8 @@
     event_splitter: EventSplitter = field(default_factory=EventSplitter)
     response_started: bool = False
     latency_s: float = 0.0
+    attempt_sent_s: float = 0.0
+    events_before_attempt: int = 0
     endpoint_error: tuple[int, Headers, bytes] | None = None
     _content_ids: tuple[str, ...] | None = None
 
@@ -64,6 +70,24 @@
         """Return the seconds left until the deadline."""
         return self.deadline_s - now()
 
+    def begin_attempt(self) -> None:
+        """Record that the request is sent to an endpoint."""
+        self.executions += 1
+        self.attempts_sent += 1
+        self.attempt_sent_s = now()
+        self.events_before_attempt = self.event_splitter.event_count
+
+    @property
+    def is_being_answered(self) -> bool:
+        """Return whether the endpoint of the last attempt has begun to answer.
+
+        One that crashes when it begins may have written the first event of a stream.
+        """
+        if self.route.kind is not CallKind.STREAM:
+            return self.response_started
+        events = self.event_splitter.event_count - self.events_before_attempt
+        return events >= MIN_ANSWER_EVENTS
+
     @property
     def can_continue(self) -> bool:
         """Return whether another attempt can continue the response.
--- a/cranberrysail/router/contentrecord.py
+++ b/cranberrysail/router/contentrecord.py
@@ -50,6 +50,7 @@
       quarantined_s: Time at which it was last quarantined.
       quarantines: How often it was quarantined.
       local: True if the last change was observed by this router itself.
+      witnessed: True if this router has itself observed one of the crashes.
       trial_until_s: Time until which the outcome of a call of this router is awaited.
       distinguished_s: Time of the last crash before which calls without the content
         were answered, and those with it were not.
@@ -61,6 +62,7 @@
     quarantined_s: float = -math.inf
     quarantines: int = 0
     local: bool = False
+    witnessed: bool = False
     trial_until_s: float = -math.inf
     distinguished_s: float = -math.inf
 
--- a/cranberrysail/router/quarantine.py
+++ b/cranberrysail/router/quarantine.py
@@ -69,6 +69,8 @@
 # Maximum numbers of records and of remembered answers.
 MAX_RECORDS = 256
 MAX_ANSWERED = 512
+# Contents of one crash beyond this number are ignored.
+MAX_IDS_OF_CRASH = 1024
 # Records that are shared with other routers.
 MAX_SHARED = 32
 # A single crash is shared for this time.
@@ -202,10 +204,13 @@
         """
         outcomes = self._outcomes.setdefault(service, ServiceOutcomes())
         outcomes.add_crash(incarnation, at_s, calls, now)
-        for content_id, sent_s in last_sent_s.items():
+        # Content that is known from other crashes goes first.
+        content_ids = sorted(last_sent_s, key=lambda i: i not in self._records)
+        for content_id in content_ids[:MAX_IDS_OF_CRASH]:
             record = self._find_or_add(content_id)
-            record.add_crash(incarnation, CrashEvidence(at_s, sent_s))
-            record.local = True
+            evidence = CrashEvidence(at_s, last_sent_s[content_id])
+            record.add_crash(incarnation, evidence)
+            record.local = record.witnessed = True
         self._limit_records()
 
     def record_answer(self, content_ids: tuple[str, ...], now: float) -> bool:
--- a/cranberrysail/router/quarantinestore.py
+++ b/cranberrysail/router/quarantinestore.py
@@ -19,6 +19,8 @@
 __all__ = ["StoredQuarantine", "is_quarantine_key"]
 
 KEY_PREFIX = "quarantine/"
+# Longer keys cannot be stored; their records are only exchanged between routers.
+MAX_KEY_BYTES = 255
 # Interval at which records are compared with those in the store.
 COMPARE_INTERVAL_S = 0.25
 # Pause between two writes of a record, in which the first one is read back.
@@ -31,6 +33,8 @@
 REMOTE_WRITERS = 3
 REMOTE_DELAY_S = 1.0
 REMOTE_SPREAD_S = 2.0
+# Other routers that saw an earlier crash on the content leave it to those.
+WITNESS_DELAY_S = 4.0
 # Records beyond this number are not written.
 MAX_STORED = 32
 
@@ -57,6 +61,10 @@
     return key.startswith(KEY_PREFIX)
 
 
+def _key(content_id: str) -> str:
+    return KEY_PREFIX + content_id
+
+
 def _to_unix_ms(time_s: float) -> int:
     return round((unix_time() - (now() - time_s)) * 1000)
 
@@ -164,13 +172,11 @@
             content_id
             for content_id in wanted.keys() | self._stored.keys()
             if wanted.get(content_id) != self._stored.get(content_id)
-            and (self._is_local(content_id) or self._is_remote_writer(content_id))
+            and (content_id in wanted or self._has_ended(content_id))
+            and self._delay_s(content_id) is not None
         ]
         self._write_at_s = {
-            content_id: self._write_at_s.get(
-                content_id, now() + self._delay_s(content_id)
-            )
-            for content_id in changed
+            i: self._write_at_s.get(i, now() + self._delay_s(i)) for i in changed
         }
         return sorted(i for i, at_s in self._write_at_s.items() if now() >= at_s)
 
@@ -178,20 +184,32 @@
         return {
             record.content_id: _signature(record)
             for record in self._quarantine.shared_records(now())[:MAX_STORED]
-            if self._quarantine.stage(record.content_id) is not ContentStage.OBSERVED
+            if len(_key(record.content_id).encode()) <= MAX_KEY_BYTES
+            and self._quarantine.stage(record.content_id) is not ContentStage.OBSERVED
         }
 
-    def _is_local(self, content_id: str) -> bool:
-        record = self._quarantine.records.get(content_id)
-        return record is not None and record.local
+    def _has_ended(self, content_id: str) -> bool:
+        """Return whether nothing is held against content any more.
 
-    def _is_remote_writer(self, content_id: str) -> bool:
-        return self._rank_of(content_id) < REMOTE_WRITERS
+        Routers may disagree whether other content explains its crashes. Their record
+        stays in the store.
+        """
+        record = self._quarantine.records.get(content_id)
+        if record is None:
+            return True
+        return not record.open_crashes() and now() >= record.quarantine_end_s
 
-    def _delay_s(self, content_id: str) -> float:
-        if self._is_local(content_id):
+    def _delay_s(self, content_id: str) -> float | None:
+        """Return after which time a change is written, None if others write it."""
+        record = self._quarantine.records.get(content_id)
+        if record is not None and record.local:
             return 0.0
-        return REMOTE_DELAY_S + REMOTE_SPREAD_S * random.random()
+        spread_s = REMOTE_SPREAD_S * random.random()
+        if self._rank_of(content_id) < REMOTE_WRITERS:
+            return REMOTE_DELAY_S + spread_s
+        if record is not None and record.witnessed:
+            return WITNESS_DELAY_S + spread_s
+        return None
 
     async def _write(self, content_id: str) -> None:
         value = b""
@@ -199,7 +217,7 @@
             value = _encode(self._quarantine.records[content_id])
         self._write_at_s[content_id] = now() + self._interval_s
         try:
-            await self._store.put(Topic.ROUTERS, KEY_PREFIX + content_id, value)
+            await self._store.put(Topic.ROUTERS, _key(content_id), value)
             self._interval_s = REWRITE_INTERVAL_S
         except StoreError as exc:
             self._interval_s = min(2 * self._interval_s, MAX_REWRITE_INTERVAL_S)
--- a/tests/router/test_crashdetector.py
+++ b/tests/router/test_crashdetector.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from tests.router.simulatedfleet import SimulatedFleet, make_config, make_request
+from tests.router.simulatedfleet import (
+    SEAL,
+    SimulatedFleet,
+    make_config,
+    make_request,
+)
 from tests.router.virtualloop import run_virtual
 
 
@@ -71,3 +76,31 @@
         "another connection is open",
         "its address accepts connections",
     ]
+
+
+def test_call_that_another_endpoint_answered_in_part_is_unanswered_at_a_crash():
+    async def answer(conn, received):
+        attempt = received.headers["cranberrysail-attempt-id"]
+        head = f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}\r\n"
+        conn.transport.write(head.encode())
+        if "last-event-id" in received.headers:
+            conn.transport.write(b"id: 4\nda")
+            end_worker(conn.worker)
+            return
+        for number in range(1, 4):
+            conn.transport.write(f"id: {number}\ndata: x\n\n".encode())
+        await asyncio.sleep(0.05)
+        conn.transport.reset()
+
+    async def case(loop):
+        fleet = SimulatedFleet(loop)
+        fleet.write_config(make_config())
+        for name in ("e1", "e2"):
+            fleet.add_worker(name, "engines", answer)
+        await fleet.start_router()
+        await fleet.send_and_wait(make_request("/resumable/"))
+        await asyncio.sleep(0.5)
+        return fleet
+
+    (line,) = lines(run_virtual(case), "endpoint_crashed")
+    assert line["unanswered"] == 1
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -162,6 +162,14 @@
     assert not quarantine.lift("s/unknown", now)
 
 
+def test_content_known_from_other_crashes_is_not_crowded_out_by_a_call_with_many():
+    quarantine = Quarantine()
+    crash(quarantine, 1, 100.0, HARMFUL)
+    many = [f"s/{number}" for number in range(5000)]
+    crash(quarantine, 2, 101.0, *many, HARMFUL)
+    assert quarantine.stage(HARMFUL) is ContentStage.SUSPECTED
+
+
 def test_caller_that_names_many_parts_does_not_fill_the_memory():
     quarantine = Quarantine()
     now = convict(quarantine)
--- a/tests/router/test_quarantinestore.py
+++ b/tests/router/test_quarantinestore.py
@@ -35,10 +35,10 @@
     return {k: v for k, v in records.items() if is_quarantine_key(k) and v}
 
 
-def convicted():
+def convicted(content=HARMFUL):
     """Return a quarantine in which some content is quarantined."""
     quarantine = Quarantine()
-    quarantine.update(convict(quarantine, start_s=now_s() - 5.5))
+    quarantine.update(convict(quarantine, content, start_s=now_s() - 5.5))
     return quarantine
 
 
@@ -88,6 +88,18 @@
     assert run_virtual(case)
 
 
+def test_content_whose_key_is_too_long_for_the_store_is_not_written():
+    async def case(loop):
+        store = MemoryStore()
+        _, task = start(store, convicted("s" * 250 + "/part"))
+        await asyncio.sleep(1.0)
+        assert not task.done()
+        task.cancel()
+        return newest(store)
+
+    assert not run_virtual(case)
+
+
 def test_few_routers_write_to_a_store_that_fails():
     async def case(loop):
         store = MemoryStore()
@@ -120,6 +132,26 @@
     assert not run_virtual(case)
 
 
+def test_routers_that_disagree_do_not_rewrite_a_record_in_turn():
+    async def case(loop):
+        store, explains = MemoryStore(), convicted()
+        for number in range(4):
+            at_s = now_s() - 5.5 + 2.0 * number
+            sent = {"s/explains": at_s - 0.1}
+            explains.record_crash("s", number, at_s, sent, 1, now_s())
+        explains.update(now_s())
+        assert explains.stage(HARMFUL) is ContentStage.OBSERVED
+        routers = [start(store, quarantine) for quarantine in (convicted(), explains)]
+        for _ in range(20):
+            await asyncio.sleep(1.0)
+            for stored, _ in routers:
+                stored.apply(tuple(store.records(Topic.ROUTERS)), True)
+        keys = [key for key, _ in store.records(Topic.ROUTERS)]
+        return keys.count("quarantine/" + HARMFUL)
+
+    assert run_virtual(case) <= 3
+
+
 @pytest.mark.parametrize("value", [b"{", b"[1]", b'{"crashes": [[1]]}', b"\xff"])
 def test_invalid_record_is_ignored(value):
     async def case(loop):
