--- a/cranberrysail/router/crashdetector.py
+++ b/cranberrysail/router/crashdetector.py
@@ -71,7 +71,7 @@
 
 
 @dataclass
-class _Suspicion:
+class _Examination:
     """Connections that an endpoint has ended within a short time."""
 
     endpoint: Endpoint
@@ -102,31 +102,31 @@
         self._log = log
         self._metrics = metrics
         self._on_crash = on_crash
-        self._suspicions: dict[tuple[str, int], _Suspicion] = {}
+        self._examinations: dict[tuple[str, int], _Examination] = {}
 
     def disconnected(self, endpoint: Endpoint, call: OpenCall) -> None:
         """Record that an endpoint ended the connection of an open call."""
-        suspicion = self._suspicions.get(endpoint.incarnation)
-        if suspicion is None:
-            suspicion = _Suspicion(endpoint, now())
-            self._suspicions[endpoint.incarnation] = suspicion
-            suspicion.task = asyncio.ensure_future(self._examine(suspicion))
-        suspicion.calls.append(call)
+        examination = self._examinations.get(endpoint.incarnation)
+        if examination is None:
+            examination = _Examination(endpoint, now())
+            self._examinations[endpoint.incarnation] = examination
+            examination.task = asyncio.ensure_future(self._examine(examination))
+        examination.calls.append(call)
 
     async def wait_until_known(self, endpoint: Endpoint) -> None:
         """Wait until it is known whether an endpoint has crashed."""
-        suspicion = self._suspicions.get(endpoint.incarnation)
-        if suspicion is not None:
-            await asyncio.wait([suspicion.task])
+        examination = self._examinations.get(endpoint.incarnation)
+        if examination is not None:
+            await asyncio.wait([examination.task])
 
-    async def _examine(self, suspicion: _Suspicion) -> None:
-        endpoint = suspicion.endpoint
+    async def _examine(self, examination: _Examination) -> None:
+        endpoint = examination.endpoint
         try:
             await asyncio.sleep(CONNECTIONS_END_WITHIN_S)
             why = await self._reason_against(endpoint)
         finally:
-            del self._suspicions[endpoint.incarnation]
-        crash = Crash(endpoint, suspicion.since_s, tuple(suspicion.calls))
+            del self._examinations[endpoint.incarnation]
+        crash = Crash(endpoint, examination.since_s, tuple(examination.calls))
         if why:
             self._write_log("connections_ended", crash, why=why)
             return
@@ -165,5 +165,5 @@
 
     def close(self) -> None:
         """Stop all examinations."""
-        for suspicion in self._suspicions.values():
-            suspicion.task.cancel()
+        for examination in self._examinations.values():
+            examination.task.cancel()
