--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 from standins.deployment import CannotRunError, Deployment, Router, run_case
 
 ROUTERS = 3
-WORKERS = 6
+WORKERS = 12
 # Time to the first event of a long prompt on a worker that reads several.
 FIRST_S = 1.5
 EVENTS = 20
@@ -18,7 +18,7 @@
 # Learners who open the same page of the manual at once.
 GROUP = 9
 # Learners who each open another page of it after the first crash.
-OTHERS = 12
+OTHERS = 30
 BOOKING_CLIENTS = 20
 CALM_S = 2.0
 BETWEEN_CRASHES_S = 0.6
@@ -118,10 +118,10 @@
         learner = GROUP + other
         tasks.append(
             asyncio.ensure_future(
-                _open_page(deployment, clients[learner], f"c{other:x}", learner)
+                _open_page(deployment, clients[learner], f"c{other:02x}", learner)
             )
         )
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0.01)
     rest_s = crashed_s + BETWEEN_CRASHES_S - asyncio.get_running_loop().time()
     await asyncio.sleep(max(0.0, rest_s))
     if trouble:
