Fix: load reports with a fourth figure were dropped whole

On hosts that endpoints share with others, endpoints add a fourth figure to their load reports.

The first three figures are read, the fourth is kept as the pace, and further ones are ignored. The test failed before: these reports were parsed as None.

--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -33,11 +33,15 @@
 # Set only by endpoints, which shows that the response comes from one.
 RESPONSE_SEAL = b"cranberrysail-response-seal"
 NOT_EXECUTED = b"cranberrysail-not-executed"
-# Numbers of running calls, waiting calls and slots.
+# Numbers of running calls, waiting calls and slots; some endpoints add their pace, and
+# later releases of the platform may add more.
 SERVER_LOAD = b"cranberrysail-server-load"
 RETRY_AFTER = b"retry-after"
 # Set to 1 in all responses of an endpoint that leaves.
 SERVER_LEAVING = b"server-leaving"
+# Figures that every load report has, and those that are read.
+MIN_LOAD_FIGURES = 3
+MAX_LOAD_FIGURES = 4
 # Status with which an endpoint that has no room turns a request away.
 STATUS_UNAVAILABLE = 503
 # Status sent by an endpoint that is not the expected instance.
@@ -157,18 +161,16 @@
     return tuple(entry.partition(":")[0].strip() for entry in entries)
 
 
-def _parse_numbers(value: bytes, count: int) -> list[int]:
-    """Parse a list of ``count`` numbers; return zeros if it is invalid."""
-    items = [_parse_number(item) for item in value.split(b",")]
-    if len(items) != count or None in items:
-        return [0] * count
-    return items
-
-
 def _parse_load_report(value: bytes) -> LoadReport | None:
     """Parse a load report; return None if it is missing or invalid."""
-    running, waiting, slots = _parse_numbers(value, 3)
-    return LoadReport(running, waiting, slots) if slots else None
+    numbers = [_parse_number(item) for item in value.split(b",", MAX_LOAD_FIGURES)]
+    if len(numbers) < MIN_LOAD_FIGURES or None in numbers[:MIN_LOAD_FIGURES]:
+        return None
+    running, waiting, slots = numbers[:MIN_LOAD_FIGURES]
+    if not slots:
+        return None
+    pace_percent = numbers[MIN_LOAD_FIGURES] if len(numbers) > MIN_LOAD_FIGURES else 0
+    return LoadReport(running, waiting, slots, pace_percent or None)
 
 
 def _parse_idle_timeout_s(value: bytes) -> float:
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -58,11 +58,14 @@
       running: Calls in progress, from all routers.
       waiting: Calls in its queue.
       slots: Calls that the endpoint processes concurrently.
+      pace_percent: Time that work takes on the endpoint's host at present, in percent
+        of the usual time; None if the endpoint does not say.
     """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -178,3 +178,20 @@
         assert response.report.slots > 0
     call = codec.call_head(headers)
     codec.error_headers(call.request_id, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("value", "report"),
+    [
+        (b"3,1,8,250", LoadReport(3, 1, 8, 250)),
+        (b"3,1,8,100,7", LoadReport(3, 1, 8, 100)),
+        (b"3,1,8,x", LoadReport(3, 1, 8)),
+        (b"3,1", None),
+        (b"3,1,0,100", None),
+        (b"3,x,8,100", None),
+    ],
+)
+def test_load_report_is_not_dropped_for_further_figures(value, report):
+    """Routers that drop such reports know no load, and overload endpoints."""
+    headers = [(b"cranberrysail-server-load", value)]
+    assert HEADERS_CODEC.response_head(200, headers).report == report
