Zones that are cut off: calls no longer find out one by one; routers leave the rotation

A failed connect is now a reason to test its zone, by connects to three endpoints of it without a request; a zone that none accepts gets no calls, and is tested each 0.5 s. Routers that reach their own zone but less than half of all endpoints answer the readiness check with 503, so that the balancer sends callers to other zones, and close kept connections once it has. Only where settings tolerate the loss of a zone.

test_router_that_is_cut_off_tries_no_endpoint_in_vain fails without the tests of zones (attempts end without a connection).

--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -47,6 +47,12 @@
     cold_slack: float = 0.0
 
 
+class _FaultTolerance(msgspec.Struct):
+    """What may fail at once; ``zones`` is a number of availability zones."""
+
+    zones: int = 0
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -70,6 +76,7 @@
     internal_port_range: tuple[int, int]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    fault_tolerance: _FaultTolerance = msgspec.field(default_factory=_FaultTolerance)
     heartbeat_interval_ms: float = 1200.0
 
 
@@ -102,6 +109,7 @@
         relays=node.limits.link_mbps >= MIN_RELAY_MBPS,
         ready_path=READY_PATH,
         grace_s=bounds.grace_s,
+        tolerated_zones=node.fault_tolerance.zones,
         cold=ColdBound(bounds.cold_overage, bounds.cold_slack),
         repeats=RetryBound(
             bounds.retry_budget_ratio, bounds.budget_slack, bounds.budget_window_s
--- a/cranberrysail/router/config.py
+++ b/cranberrysail/router/config.py
@@ -43,6 +43,8 @@
       relays: True if this router's link has the bandwidth to serve all other routers of
         its zone.
       grace_s: Time from the stop request until the process is killed.
+      tolerated_zones: Availability zones that may be lost at once. If any, a router
+        whose zone is cut off tells the load balancer to send callers elsewhere.
       cold: Bound on the calls to a cold endpoint, that is, one that is still warming up
         after a start.
       repeats: Bound on retries.
@@ -60,6 +62,7 @@
     relays: bool = True
     ready_path: str = "/ready"
     grace_s: float = 8.0
+    tolerated_zones: int = 0
     cold: ColdBound = field(default_factory=lambda: ColdBound(overage=1.0, slack=0.0))
     repeats: RetryBound = field(
         default_factory=lambda: RetryBound(ratio=0.2, slack=0.0, window_s=10.0)
--- a/cranberrysail/router/endpoints.py
+++ b/cranberrysail/router/endpoints.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from cranberrysail.router.model import EndpointRecord
+from cranberrysail.router.zonereachability import ZoneReachability
 
 __all__ = ["Endpoint", "EndpointChange", "EndpointDirectory", "EndpointState"]
 
@@ -157,10 +158,12 @@
     Attributes:
       on_change: Called with each change, its endpoint and the reason, for the log.
       zones_out: Availability zones that operators have taken out of service.
+      reachability: Availability zones that this router cannot connect to.
     """
 
     on_change: ChangeCallback = _ignore_change
     zones_out: set[str] = field(default_factory=set)
+    reachability: ZoneReachability = field(default_factory=ZoneReachability)
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _store_failed_s: float = -math.inf
     _lapse_deadline_s: float = 0.0
@@ -347,6 +350,7 @@
         current = self._endpoints.get(endpoint.id)
         if current is not endpoint:
             return
+        self.reachability.connection_failed(endpoint.record.zone)
         if now >= endpoint.backoff_until_s:
             self.on_change(EndpointChange.AVOIDED, endpoint, why)
         endpoint.connection_failures += 1
@@ -379,6 +383,7 @@
           now: Current time in seconds.
           cold_s: How long the endpoints of its service stay cold after a start.
         """
+        self.reachability.answered(endpoint.record.zone)
         endpoint.connection_failures = 0
         endpoint.backoff_until_s = 0.0
         if endpoint.maybe_restarted and endpoint.maybe_cold_until_s == math.inf:
@@ -433,5 +438,16 @@
             for endpoint in self._endpoints.values()
             if endpoint.record.service == service
             and endpoint.state is not EndpointState.DRAINING
-            and endpoint.record.zone not in self.zones_out
+            and self.serves_zone(endpoint.record.zone)
         ]
+
+    def serves_zone(self, zone: str) -> bool:
+        """Return whether calls are sent to a zone: it is not out, and reachable."""
+        return zone not in self.zones_out and zone not in self.reachability.unreachable
+
+    def zone_reached(self, zone: str, now: float) -> None:
+        """End the back-off of the endpoints of a zone that can be reached again."""
+        for endpoint in self:
+            if endpoint.record.zone == zone:
+                endpoint.connection_failures = 0
+                endpoint.backoff_until_s = min(endpoint.backoff_until_s, now)
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -32,8 +32,10 @@
 from cranberrysail.router.quarantine import ContentStage, Quarantine
 from cranberrysail.router.quarantineexchange import QuarantineExchange
 from cranberrysail.router.quarantinestore import StoredQuarantine
+from cranberrysail.router.rotation import Rotation, is_zone_cut_off
 from cranberrysail.router.selector import Selector
 from cranberrysail.router.store import BaseStore
+from cranberrysail.router.zonetester import ZoneTester
 
 __all__ = ["Router"]
 
@@ -81,6 +83,9 @@
         self.log = DecisionLog(cfg.name)
         self.metrics = RouterMetrics()
         self.endpoints = EndpointDirectory(self._on_endpoint_change)
+        self.endpoints.reachability.on_change = self._on_zone_change
+        self.zone_tester = ZoneTester(self.endpoints, self.metrics)
+        self.rotation = Rotation()
         self.routers = RouterDirectory(cfg.name, cfg.zone)
         self.quarantine = Quarantine()
         self.quarantine_exchange = QuarantineExchange(
@@ -151,6 +156,27 @@
         if change is EndpointChange.REMOVED:
             self.selector.cold_limiter.forget(record.endpoint_id)
 
+    def _on_zone_change(self, zone: str, reachable: bool) -> None:
+        self.log.write("zone_reached" if reachable else "zone_unreachable", zone=zone)
+        self.metrics.count("zone_changes", "reached" if reachable else "unreachable")
+        if reachable:
+            self.endpoints.zone_reached(zone, now())
+
+    def _update_rotation(self) -> None:
+        unreachable = self.endpoints.reachability.unreachable
+        cut_off = self.cfg.tolerated_zones > 0 and is_zone_cut_off(
+            self.endpoints, self.cfg.zone, unreachable, self.endpoints.zones_out
+        )
+        if self.rotation.update(cut_off, now()):
+            kind = "left_rotation" if cut_off else "back_in_rotation"
+            self.log.write(kind, zone=self.cfg.zone, unreachable=sorted(unreachable))
+        # Callers keep their connections; once the balancer sends no new ones, those
+        # that are closed are opened at a router of another zone.
+        self.listener.draining = (
+            self._stop_requested_s is not None
+            or self.rotation.left_for(BALANCER_DRAIN_S, now())
+        )
+
     def _on_unexpected_error(self, exc: BaseException) -> None:
         self.log.write("internal_error", why=repr(exc), where=location(exc))
         self.metrics.count("internal_errors")
@@ -175,7 +201,8 @@
         return self.routing_state.is_loaded and self._stop_requested_s is None
 
     def _ready_page(self) -> tuple[int, bytes]:
-        return (200, b"ready\n") if self.ready else (503, b"not ready\n")
+        in_rotation = self.ready and self.rotation.left_s is None
+        return (200, b"ready\n") if in_rotation else (503, b"not ready\n")
 
     def _metrics_page(self) -> tuple[int, bytes]:
         gauges = {
@@ -207,6 +234,8 @@
             "store_era": self.follower.sources.store.era.number,
             "routers": len(self.routers),
             "zones_out": sorted(self.endpoints.zones_out),
+            "zones_unreachable": sorted(self.endpoints.reachability.unreachable),
+            "in_rotation": self.rotation.left_s is None,
             "records_failed": self.routing_state.failed_records,
             "task_failures": dict(self.background_tasks.failures),
             "store_reads": self.metrics.by_label("store_reads"),
@@ -287,6 +316,7 @@
         tasks = {
             "caller_timeouts": self.listener.check_timeouts_forever,
             "maintenance": self._run_maintenance,
+            "zone_tests": self.zone_tester.run,
             **self.follower.background_tasks(),
             "load_exchange": self.load_exchange.run,
             "peer_tables": self.peer_tables.run,
@@ -309,6 +339,7 @@
             started_s = now()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self.call_handler.sweep()
+            self._update_rotation()
             late_s = now() - started_s - MAINTENANCE_INTERVAL_S
             if late_s > SUSPENSION_THRESHOLD_S:
                 self.log.write("stood_still", seconds=round(late_s, 2))
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -263,7 +263,7 @@
             e
             for e in self.endpoints
             if e.record.service == service
-            and e.record.zone not in self.endpoints.zones_out
+            and self.endpoints.serves_zone(e.record.zone)
             and e.state is not EndpointState.LAPSED
             and not e.leaving
             and now >= e.paused_until_s
--- a/tests/router/test_backgroundtasks.py
+++ b/tests/router/test_backgroundtasks.py
@@ -30,6 +30,7 @@
     "register",
     "settings",
     "stored_quarantine",
+    "zone_tests",
 ]
 FAILURES = 4
 
