--- a/cranberrysail/platform/records.py
+++ b/cranberrysail/platform/records.py
@@ -1,6 +1,6 @@
 """Decoder of the records that operators and endpoints write to the store."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -12,7 +12,6 @@
     UnsignedInteger,
     check_address,
 )
-from cranberrysail.router.follower import BaseRecordDecoder
 from cranberrysail.router.model import (
     MAX_VERSION_DIGITS,
     CallerLimits,
@@ -23,11 +22,24 @@
     RouteTables,
     Service,
 )
+from cranberrysail.router.rolloutmodel import (
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
+from cranberrysail.router.routingstate import BaseRecordDecoder
+from cranberrysail.router.storedrollouts import BaseStatusCodec
 
 __all__ = ["PlatformDecoder"]
 
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
+# Keys of orders, and of their statuses.
+ROLLOUT_PREFIX = "rollout/"
+# Longer versions of endpoints, and unprintable ones, are not told apart.
+MAX_VERSION_CHARS = 64
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=1e7)]
 # Routers state versions to each other with so many digits.
 Version = Annotated[int, msgspec.Meta(ge=0, lt=10**MAX_VERSION_DIGITS)]
 CALL_KINDS = {
@@ -150,6 +162,7 @@
       sequence: Sequence number of the declaration since the endpoint's start.
       born: Start of the endpoint, in milliseconds since the epoch.
       cold_remaining_ms: How much longer the endpoint remains slow after its start.
+      version: Version of its software; anything but a text is no version.
     """
 
     service: str
@@ -160,15 +173,46 @@
     slots: Integer
     born: UnsignedInteger = 0
     cold_remaining_ms: Milliseconds = 0.0
+    version: Any = ""
+
+
+class _Order(msgspec.Struct):
+    """An order to move the traffic of a service to a version."""
+
+    to: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_VERSION_CHARS)]
+    duration_s: Seconds
+    service: str = ""
+
+
+class _Status(msgspec.Struct, omit_defaults=True):
+    """The status of an order.
+
+    Attributes:
+      phase: Part of the state ``running``.
+      started_ms: First read of the order, in milliseconds since the epoch.
+      old: Versions of the other endpoints.
+      reason: Why it was rolled back.
+    """
+
+    state: RolloutState
+    to: str
+    service: str = ""
+    phase: str = ""
+    duration_s: Seconds | None = None
+    started_ms: UnsignedInteger = 0
+    old: list[str] | None = None
+    reason: str = ""
 
 
-class PlatformDecoder(BaseRecordDecoder):
+class PlatformDecoder(BaseRecordDecoder, BaseStatusCodec):
     """Decodes the records of the platform's store."""
 
     def __init__(self) -> None:
         self._config_decoder = MessageDecoder.json(_Config)
         self._version_decoder = MessageDecoder.json(_ConfigVersion)
         self._declaration_decoder = MessageDecoder.json(_EndpointDeclaration)
+        self._order_decoder = MessageDecoder.json(_Order)
+        self._status_decoder = MessageDecoder.json(_Status)
 
     def decode_tables(self, value: bytes) -> RouteTables:
         """Return the route tables of the operators' configuration."""
@@ -215,6 +259,7 @@
             slots=declaration.slots,
             draining=declaration.state == "draining",
             remaining_cold_s=max(0.0, declaration.cold_remaining_ms / 1000),
+            version=_version(declaration.version),
         )
 
     def is_tables_key(self, key: str) -> bool:
@@ -226,3 +271,59 @@
         if not key.startswith(EVACUATE_PREFIX):
             return None
         return key.removeprefix(EVACUATE_PREFIX)
+
+    def service_of_order_key(self, key: str) -> str | None:
+        """Return the service that the order under a key is for, or None."""
+        return key.removeprefix(ROLLOUT_PREFIX) if self.is_status_key(key) else None
+
+    def decode_order(self, service: str, value: bytes) -> RolloutOrder:
+        """Return a decoded order."""
+        order = self._order_decoder.decode(value)
+        if order.service not in ("", service) or not _version(order.to):
+            raise InvalidMessageError("the order names another service, or no version")
+        return RolloutOrder(service, order.to, order.duration_s)
+
+    def is_status_key(self, key: str) -> bool:
+        """Return whether the routers' record under a key is the status of an order."""
+        return key.startswith(ROLLOUT_PREFIX) and len(key) > len(ROLLOUT_PREFIX)
+
+    def status_key(self, service: str) -> str:
+        """Return the key of the status of a service."""
+        return ROLLOUT_PREFIX + service
+
+    def decode_status(self, key: str, value: bytes) -> RolloutStatus:
+        """Return a decoded status."""
+        status = self._status_decoder.decode(value)
+        phase = Phase.SHIFT if status.phase == Phase.SHIFT else Phase.EXPOSURE
+        return RolloutStatus(
+            key.removeprefix(ROLLOUT_PREFIX),
+            status.to,
+            status.state,
+            phase,
+            status.duration_s,
+            status.started_ms,
+            frozenset(status.old) if status.old is not None else None,
+            status.reason,
+        )
+
+    def encode_status(self, status: RolloutStatus) -> bytes:
+        """Return an encoded status."""
+        old = status.old_versions
+        return msgspec.json.encode(
+            _Status(
+                status.state,
+                status.to,
+                status.service,
+                status.phase.value,
+                status.duration_s,
+                status.started_ms,
+                sorted(old) if old is not None else None,
+                status.reason,
+            )
+        )
+
+
+def _version(value: object) -> str:
+    """Return the version that an endpoint states, empty if it is not usable."""
+    is_text = isinstance(value, str) and value.isprintable()
+    return value if is_text and len(value) <= MAX_VERSION_CHARS else ""
--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -10,10 +10,13 @@
 from cranberrysail.router.coldlimit import ColdBound
 from cranberrysail.router.config import BaseSettingsSource, RouterConfig
 from cranberrysail.router.retrybudget import RetryBound
+from cranberrysail.router.rolloutmodel import RolloutBound
 
 __all__ = ["ADMIN_PORT", "SETTINGS_VARIABLE", "NodeFileSettings", "parse"]
 
 SETTINGS_VARIABLE = "CRANBERRYSAIL_NODE_FILE"
+# Contract by which orders to move a service to another version are executed.
+ROLLOUT_CONTRACT = "rollout"
 READY_PATH = "/v1/readiness"
 # Port of the listener for metrics and state; deploy/system.toml sets the same port.
 ADMIN_PORT = 9464
@@ -37,6 +40,9 @@
       cold_overage: Calls allowed to a cold endpoint, as a multiple of the rate that
         it can serve.
       cold_slack: Further calls per second allowed to a cold endpoint.
+      exposure_share: Fraction of a service's requests that an unproven version may get.
+      exposure_slack: Further requests that it may get.
+      rollback_ms: Time after the 50th bad response in which it must get none any more.
     """
 
     grace_s: float = 8.0
@@ -45,6 +51,9 @@
     budget_slack: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_ms: float = 5000.0
 
 
 class _Store(msgspec.Struct):
@@ -71,6 +80,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_interval_ms: float = 1200.0
+    contracts: list[str] = []
 
 
 def parse(text: str, source: str) -> RouterConfig:
@@ -91,6 +101,11 @@
     except msgspec.ValidationError as exc:
         raise ConfigError(source, [f"{exc}; correct this field"]) from exc
     bounds = node.bounds
+    rollout = None
+    if ROLLOUT_CONTRACT in node.contracts:
+        rollout = RolloutBound(
+            bounds.exposure_share, bounds.exposure_slack, bounds.rollback_ms / 1000
+        )
     return RouterConfig(
         name=node.node_name,
         zone=node.zone,
@@ -106,6 +121,7 @@
         repeats=RetryBound(
             bounds.retry_budget_ratio, bounds.budget_slack, bounds.budget_window_s
         ),
+        rollout=rollout,
     )
 
 
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -23,6 +23,7 @@
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.model import CallKind
 from cranberrysail.router.outcome import Attempt, AttemptResult, ReceivedResponse
+from cranberrysail.router.rollouts import Rollouts
 from cranberrysail.router.selector import Choice, Selector
 from cranberrysail.router.sse import is_event_stream
 
@@ -37,6 +38,9 @@
 # long before the call's deadline to be of use.
 RESPONSE_MARGIN_S = 0.02
 
+# Streams with fewer events tell little of the time between events.
+MIN_INTERVAL_EVENTS = 4
+
 
 class AttemptRunner:
     """Sends calls to endpoints and records the endpoints' load, latency and failures.
@@ -54,6 +58,7 @@
         header_codec: BaseHeaderCodec,
         log: DecisionLog,
         metrics: RouterMetrics,
+        rollouts: Rollouts,
     ) -> None:
         """Create a runner.
 
@@ -65,7 +70,9 @@
           header_codec: Translates to and from the platform's HTTP headers.
           log: Log of routing decisions.
           metrics: Counters and latency histograms.
+          rollouts: Told of responses, and of lost ones, by the version of endpoints.
         """
+        self._rollouts = rollouts
         self._endpoints = endpoints
         self._selector = selector
         self._content_guard = content_guard
@@ -135,6 +142,8 @@
         except UpstreamError as exc:
             attempt = self._on_connection_failed(call, endpoint, exc)
         except asyncio.CancelledError:
+            if call.remaining_s <= RESPONSE_MARGIN_S and not conn.complete:
+                self._rollouts.record_loss(endpoint)
             if call.remaining_s <= RESPONSE_MARGIN_S and _is_unfinished(call, conn):
                 self._record_endless_response(endpoint)
             release = not self._detach(call, endpoint, conn)
@@ -161,6 +170,7 @@
         self._detect_crash(call, endpoint, exc)
         if not exc.sent:
             return Attempt(AttemptResult.NOT_SENT, exc.reason)
+        self._rollouts.record_loss(endpoint)
         self._selector.loads.stats(endpoint).record_response(
             1.0, failed=True, now=now()
         )
@@ -269,6 +279,9 @@
         # endpoint, or may have been changed on the way.
         if conn.status < 300 and not response.from_endpoint:
             conn.reusable = False
+            self._rollouts.record_response(
+                endpoint, call.route.name, now() - sent_s, True, False
+            )
             return Attempt(AttemptResult.UNKNOWN, "response has no valid seal")
         if _is_stream(call, conn):
             return await self._forward_stream(call, endpoint, conn, pending_id, sent_s)
@@ -367,6 +380,13 @@
         stats.last_byte_s = now()
         stats.pending.pop(pending_id, None)
         failed = status >= 500
+        self._rollouts.record_response(
+            endpoint,
+            call.route.name,
+            elapsed_s,
+            failed,
+            call.route.kind is CallKind.STREAM,
+        )
         stats.record_response(self._latency_ratio(call, elapsed_s), failed, now())
         if failed:
             return
@@ -429,6 +449,9 @@
         self._selector.record_event_interval(
             call.service, stats, event_count, stats.last_byte_s - first_data_s
         )
+        if event_count >= MIN_INTERVAL_EVENTS:
+            interval_s = (stats.last_byte_s - first_data_s) / (event_count - 1)
+            self._rollouts.record_interval(endpoint, call.route.name, interval_s)
         # A comment may follow the last event, and a stream without any event still
         # needs a response head.
         if call.event_splitter.tail or not call.response_started:
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -86,7 +86,13 @@
         self._timeouts: set[asyncio.Timeout] = set()
         self._budget = RetryBudget(cfg.repeats)
         self.attempt_runner = AttemptRunner(
-            state.endpoints, selector, content_guard, header_codec, log, metrics
+            state.endpoints,
+            selector,
+            content_guard,
+            header_codec,
+            log,
+            metrics,
+            state.rollouts,
         )
 
     def configure(self, cfg: RouterConfig) -> None:
@@ -307,6 +313,7 @@
             id=call.head.request_id,
             route=call.route.name,
             endpoint=endpoint.id,
+            version=endpoint.record.version or None,
             load=round(choice.load, 1),
             of=choice.candidates,
             mean=round(choice.mean_load, 1),
--- a/cranberrysail/router/config.py
+++ b/cranberrysail/router/config.py
@@ -7,6 +7,7 @@
 from cranberrysail.router.coldlimit import ColdBound
 from cranberrysail.router.placement import PlacementBound
 from cranberrysail.router.retrybudget import RetryBound
+from cranberrysail.router.rolloutmodel import RolloutBound
 
 __all__ = ["BaseSettingsSource", "RouterConfig"]
 
@@ -48,6 +49,8 @@
       repeats: Bound on retries.
       placement: Bounds on the load of an endpoint relative to the mean.
       admission: Bounds on queueing time and on the retry delay given to callers.
+      rollout: Bound on the requests to an unproven version; None if orders to move a
+        service to another version have no effect.
     """
 
     name: str
@@ -66,3 +69,4 @@
     )
     placement: PlacementBound = field(default_factory=PlacementBound)
     admission: AdmissionBound = field(default_factory=AdmissionBound)
+    rollout: RolloutBound | None = None
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -107,8 +107,9 @@
 def _placed(line: LogLine) -> str:
     cache = f", cache from {line['cache_from']}" if line.get("cache_from") else ""
     rank = f", rank {line['rank']}" if line.get("rank") is not None else ""
+    version = f" (version {line['version']})" if line.get("version") else ""
     return (
-        f"attempt {line.get('attempt')} assigned to {line.get('endpoint')} by "
+        f"attempt {line.get('attempt')} assigned to {line.get('endpoint')}{version} by "
         f"route {line.get('route')}: load {line.get('load')} by a report "
         f"{line.get('report_age_s')} s old, mean {line.get('mean')}, calls spill above "
         f"{line.get('spill_load')}; {line.get('of')} candidates{rank}{cache}; tables "
@@ -230,6 +231,28 @@
     )
 
 
+@LINE_FORMATTERS.register("rollout_ordered")
+def _rollout_ordered(line: LogLine) -> str:
+    return (
+        f"order to move {line.get('service')} to version {line.get('to')} within "
+        f"{line.get('duration_s')} s read; its other versions: "
+        f"{', '.join(line.get('old') or []) or 'none'}"
+    )
+
+
+@LINE_FORMATTERS.register("rollout_phase")
+def _rollout_phase(line: LogLine) -> str:
+    why = f" ({line['why']})" if line.get("why") else ""
+    return (
+        f"{line.get('service')} to version {line.get('to')}: {line.get('phase')}{why} "
+        f"after {line.get('elapsed_s')} s; new version: {line.get('new_responses')} "
+        f"responses, {line.get('new_failures')} failures, {line.get('new_slow')} of "
+        f"{line.get('new_timed')} slow; old: {line.get('old_responses')} responses, "
+        f"{line.get('old_failures')} failures, {line.get('old_slow')} of "
+        f"{line.get('old_timed')} slow, {line.get('open_old')} calls open"
+    )
+
+
 @LINE_FORMATTERS.register("endpoint_leaving")
 def _endpoint_leaving(line: LogLine) -> str:
     return (
--- a/cranberrysail/router/memorystore.py
+++ b/cranberrysail/router/memorystore.py
@@ -6,6 +6,7 @@
 
 from cranberrysail.router.store import (
     BaseStore,
+    OffsetConflictError,
     OffsetOutOfRangeError,
     Page,
     StoreError,
@@ -186,5 +187,13 @@
         await self._raise_if_failing()
         self.append(topic, key, value or None)
 
+    async def append_at(self, topic: Topic, key: str, value: bytes, at: int) -> None:
+        """Append a record if the log ends at an offset, unless a fault is set."""
+        await self._raise_if_failing()
+        end = len(self._shared.records[topic])
+        if at != end:
+            raise OffsetConflictError(f"the log ends at {end}, not {at}")
+        self.append(topic, key, value or None)
+
     def close(self) -> None:
         """Do nothing, as there are no connections."""
--- a/cranberrysail/router/model.py
+++ b/cranberrysail/router/model.py
@@ -130,6 +130,7 @@
       draining: True once the endpoint has announced that it will stop.
       remaining_cold_s: Seconds that the endpoint remains cold, counted from the
         declaration.
+      version: Version of the software that it runs, empty if it states none.
     """
 
     endpoint_id: str
@@ -141,6 +142,7 @@
     slots: int
     draining: bool = False
     remaining_cold_s: float = 0.0
+    version: str = ""
 
 
 @dataclass(frozen=True)
--- a/cranberrysail/router/peers.py
+++ b/cranberrysail/router/peers.py
@@ -44,8 +44,10 @@
 
 __all__ = [
     "BaseQuarantineSource",
+    "BaseRolloutSource",
     "BaseTablesSource",
     "QUARANTINE_HEADER",
+    "ROLLOUTS_PATH",
     "RegisteredRouter",
     "RouterDirectory",
     "PeerStore",
@@ -58,6 +60,8 @@
 RECORDS_PATH = "/records"
 # Path at which a router serves its tables in force.
 TABLES_PATH = "/tables"
+# Path at which a router exchanges the evidence and phases of roll-outs.
+ROLLOUTS_PATH = "/rollouts"
 # Response header of an exchange of loads: the version of the tables in force.
 VERSION_HEADER = b"tables-version"
 # Response header of an exchange of loads: the digest of the quarantine records.
@@ -307,6 +311,11 @@
             return before
         return [*before, self._zone_order(zones[turn % len(zones)])[0]]
 
+    @property
+    def is_first_of_zone(self) -> bool:
+        """Return whether this router connects its zone with the others."""
+        return self._own_index(self._zone_order(self._zone)) == 0
+
     def quarantine_partners(self) -> list[RegisteredRouter]:
         """Return the routers to which this one sends changed quarantine records.
 
@@ -533,6 +542,26 @@
         """
 
 
+class BaseRolloutSource(ABC):
+    """The roll-outs of a router, and what it hears of them from others."""
+
+    @abstractmethod
+    def encode(self) -> bytes:
+        """Return a message with the roll-outs."""
+
+    @abstractmethod
+    def merge_message(self, message: bytes, is_request: bool) -> None:
+        """Merge the message of another router.
+
+        Args:
+          message: The message.
+          is_request: Whether the other router sent it by itself.
+
+        Raises:
+          InvalidMessageError: If the message is invalid.
+        """
+
+
 def create_peer_server(
     cache: RecordCache,
     since_store_read_s: Callable[[Topic], float],
@@ -541,6 +570,7 @@
     tables: BaseTablesSource,
     quarantine: BaseQuarantineSource,
     on_error: Callable[[BaseException], None],
+    rollouts: BaseRolloutSource | None = None,
 ) -> HttpListener:
     """Return a server of recent records and loads for peers.
 
@@ -553,6 +583,7 @@
       tables: Tables in force, and where to tell of those of peers.
       quarantine: Quarantine records, and where to merge those of peers.
       on_error: Called with an unexpected exception.
+      rollouts: Roll-outs to exchange; None if orders have no effect.
     """
     encode_records = _CachingEncoder()
 
@@ -563,6 +594,9 @@
         if request.path == QUARANTINE_PATH:
             _exchange_quarantine(quarantine, request, conn)
             return
+        if request.path == ROLLOUTS_PATH and rollouts is not None:
+            _exchange_rollouts(rollouts, request, conn)
+            return
         if request.path == TABLES_PATH:
             _send_tables(tables, conn)
             return
@@ -645,6 +679,17 @@
     conn.send_response(200, BINARY_HEADERS, quarantine.encode())
 
 
+def _exchange_rollouts(
+    rollouts: BaseRolloutSource, request: HttpRequest, conn: HttpServerConn
+) -> None:
+    try:
+        rollouts.merge_message(request.body, is_request=True)
+    except InvalidMessageError:
+        conn.send_response(400, BINARY_HEADERS, b"a list of roll-outs is needed\n")
+        return
+    conn.send_response(200, BINARY_HEADERS, rollouts.encode())
+
+
 def _query(request: HttpRequest) -> dict[str, list[str]]:
     return parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
 
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -32,8 +32,11 @@
 from cranberrysail.router.quarantine import ContentStage, Quarantine
 from cranberrysail.router.quarantineexchange import QuarantineExchange
 from cranberrysail.router.quarantinestore import StoredQuarantine
+from cranberrysail.router.rolloutexchange import RolloutExchange
+from cranberrysail.router.rollouts import Rollouts
 from cranberrysail.router.selector import Selector
 from cranberrysail.router.store import BaseStore
+from cranberrysail.router.storedrollouts import StoredRollouts
 
 __all__ = ["Router"]
 
@@ -93,6 +96,20 @@
             self.log,
             self.quarantine_exchange.update,
         )
+        self.rollouts = Rollouts(
+            cfg.rollout,
+            cfg.zone,
+            self.endpoints,
+            self.log,
+            self.metrics,
+            random.Random(),
+        )
+        self.rollout_exchange = RolloutExchange(
+            self.rollouts, cfg.zone, self.routers, self.log
+        )
+        self.stored_rollouts = StoredRollouts(
+            self.rollouts, store, decoder, self.routers.rank, self.log
+        )
         self.routing_state = RoutingState(
             self.endpoints,
             self.routers,
@@ -100,6 +117,8 @@
             decoder,
             self._on_tables_changed,
             self.stored_quarantine,
+            self.rollouts,
+            self.stored_rollouts,
         )
         loads = LoadTracker()
         self.load_gossip = LoadGossip(loads, self.endpoints)
@@ -116,7 +135,7 @@
             self.log,
         )
         self.selector = Selector(
-            cfg, self.endpoints, loads, self.routers, random.Random()
+            cfg, self.endpoints, loads, self.routers, random.Random(), self.rollouts
         )
         self.call_handler = CallHandler(
             cfg,
@@ -148,6 +167,7 @@
             why=why,
         )
         self.metrics.count("endpoint_changes", change.value)
+        self.rollouts.note_endpoint(endpoint)
         if change is EndpointChange.REMOVED:
             self.selector.cold_limiter.forget(record.endpoint_id)
 
@@ -225,10 +245,12 @@
                 for record in self.quarantine.records.values()
                 if record.open_crashes()
             ],
+            "rollouts": self.rollouts.dump(),
             "endpoints": [
                 {
                     "name": e.id,
                     "service": e.record.service,
+                    "version": e.record.version,
                     "zone": e.record.zone,
                     "state": e.state.value,
                     "open": e.open_calls,
@@ -282,6 +304,7 @@
                 self.peer_tables,
                 self.quarantine_exchange,
                 self._on_unexpected_error,
+                self.rollout_exchange,
             ),
         )
         tasks = {
@@ -293,6 +316,9 @@
             "quarantine_exchange": self.quarantine_exchange.run,
             "stored_quarantine": self.stored_quarantine.run,
         }
+        if self.rollouts.enabled:
+            tasks["rollout_exchange"] = self.rollout_exchange.run
+            tasks["stored_rollouts"] = self.stored_rollouts.run
         if self._settings is not None:
             tasks["settings"] = self._watch_settings
         for name, run in tasks.items():
@@ -386,3 +412,4 @@
         self.follower.sources.close()
         self.load_exchange.close()
         self.quarantine_exchange.close()
+        self.rollout_exchange.close()
--- a/cranberrysail/router/routingstate.py
+++ b/cranberrysail/router/routingstate.py
@@ -13,7 +13,10 @@
 from cranberrysail.router.model import EndpointRecord, RouteTables
 from cranberrysail.router.peers import RouterDirectory
 from cranberrysail.router.quarantinestore import StoredQuarantine, is_quarantine_key
+from cranberrysail.router.rolloutmodel import RolloutOrder
+from cranberrysail.router.rollouts import Rollouts
 from cranberrysail.router.store import Page, Record, Topic
+from cranberrysail.router.storedrollouts import StoredRollouts
 
 __all__ = ["BaseRecordDecoder", "RoutingState"]
 
@@ -52,6 +55,18 @@
     def is_tables_key(self, key: str) -> bool:
         """Return whether the operators' record under a key holds route tables."""
 
+    @abstractmethod
+    def service_of_order_key(self, key: str) -> str | None:
+        """Return the service that the order under a key is for, or None."""
+
+    @abstractmethod
+    def decode_order(self, service: str, value: bytes) -> RolloutOrder:
+        """Return the decoded order to move a service to a version.
+
+        Raises:
+          InvalidMessageError: If the record is invalid.
+        """
+
     @abstractmethod
     def zone_of_key(self, key: str) -> str | None:
         """Return the availability zone that a key takes out of service, or None."""
@@ -68,6 +83,8 @@
       decoder: Decodes the platform's records.
       on_tables_changed: Called after newer tables were applied.
       stored_quarantine: Quarantine records, which are in the topic of the routers.
+      rollouts: The operators' orders to move services to other versions.
+      stored_rollouts: Statuses of these, which are in the topic of the routers.
       tables: Tables of the highest version read, None if there are none yet.
       tables_record: Their record.
       eras: Era of the store of the last snapshot of each topic.
@@ -80,6 +97,8 @@
     decoder: BaseRecordDecoder
     on_tables_changed: Callable[[], None]
     stored_quarantine: StoredQuarantine
+    rollouts: Rollouts
+    stored_rollouts: StoredRollouts
     tables: RouteTables | None = None
     tables_record: Record | None = None
 
@@ -160,6 +179,7 @@
             not_applied = self._apply_routers(page, restored)
         if page.is_snapshot:
             self.eras[topic] = page.era
+            self.rollouts.endpoints_known = Topic.ENDPOINTS in self.eras
         if self.is_loaded:
             self._loaded.set()
         return not_applied
@@ -178,10 +198,14 @@
     def _apply_routers(self, page: Page, restored: bool) -> set[int]:
         quarantine_records = tuple(r for r in page.records if is_quarantine_key(r[0]))
         self.stored_quarantine.apply(quarantine_records, page.is_snapshot)
+        is_status_key = self.stored_rollouts.is_status_key
+        # Earlier records of a key may be those of an order that was withdrawn.
+        statuses = {key: value for key, value in page.records if is_status_key(key)}
+        self.stored_rollouts.apply(tuple(statuses.items()))
         indexes = [
             index
             for index, (key, _) in enumerate(page.records)
-            if not is_quarantine_key(key)
+            if not is_quarantine_key(key) and not is_status_key(key)
         ]
         if not indexes and not page.is_snapshot:
             return set()
@@ -200,6 +224,7 @@
             for key, value in page.records
             if (zone := self.decoder.zone_of_key(key)) is not None
         }
+        self._apply_orders(page)
         self._unconfirmed_zones -= zones.keys()
         if page.is_snapshot:
             missing = self.endpoints.zones_out - zones.keys()
@@ -211,6 +236,27 @@
             self._set_zone_out(zone, out)
         return not_applied
 
+    def _apply_orders(self, page: Page) -> None:
+        orders: dict[str, RolloutOrder | None] = {}
+        rejected = set()
+        for key, value in page.records:
+            service = self.decoder.service_of_order_key(key)
+            if service is None:
+                continue
+            if value is None and not page.is_snapshot:
+                # The same order may follow, and is then to be executed again.
+                self.rollouts.apply_orders({service: None}, is_snapshot=False)
+            try:
+                order = self.decoder.decode_order(service, value) if value else None
+            except InvalidMessageError as exc:
+                # An order that was valid stands until it is withdrawn.
+                self.log.write("order_rejected", key=key[:64], why=str(exc))
+                rejected.add(service)
+                continue
+            orders[service] = order
+        restored = page.is_snapshot and now() < self._zone_deadline_s
+        self.rollouts.apply_orders(orders, page.is_snapshot, restored, rejected)
+
     def apply_tables(self, record: Record, source: str) -> bool:
         """Apply the tables that a peer has in force, unless they are older.
 
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -6,6 +6,7 @@
 from cranberrysail.router.admission import RefusalReason, expected_wait_s
 from cranberrysail.router.coldlimit import ColdLimiter
 from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.eligibility import AllEligible, BaseEligibility
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory, EndpointState
 from cranberrysail.router.load import EndpointStats, LoadEstimate, LoadTracker
 from cranberrysail.router.model import Route, RouteTables, Service
@@ -85,6 +86,7 @@
 
     Attributes:
       routers: The routers registered in the store.
+      rollouts: Decides which versions of the endpoints a call may go to.
       cold_limiter: Rate limit on calls to cold endpoints, that is, those that are
         still warming up after a start.
       service_time: Mean time that a call occupies a slot, by service.
@@ -98,6 +100,7 @@
     loads: LoadTracker
     routers: RouterDirectory
     rng: random.Random
+    rollouts: BaseEligibility = field(default_factory=AllEligible)
     cold_limiter: ColdLimiter = field(init=False)
     service_time: MovingAverages = field(default_factory=MovingAverages)
     _squared_service_time: MovingAverages = field(default_factory=MovingAverages)
@@ -186,6 +189,15 @@
         """
         service = tables.services.get(service_name, Service(service_name))
         usable = [e for e in self.endpoints.usable(service_name) if e.id not in tried]
+        usable = self.rollouts.eligible(
+            service_name,
+            usable,
+            lambda e: (
+                e.takes_requests(now) and self._within_cold_limit(e, service, now)
+            ),
+            bool(tried),
+            now,
+        )
         if not usable:
             return Choice(None, RefusalReason.NO_ENDPOINT)
         taking = [e for e in usable if e.takes_requests(now)]
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -11,6 +11,7 @@
     "BaseStore",
     "EraChangedError",
     "LOG_START",
+    "OffsetConflictError",
     "OffsetOutOfRangeError",
     "Page",
     "Position",
@@ -61,6 +62,10 @@
         self.body = body
 
 
+class OffsetConflictError(StoreError):
+    """Another record was appended at the offset; read on, and decide again."""
+
+
 class EraChangedError(StoreError):
     """The store was restored from a copy; read a snapshot in the new era."""
 
@@ -181,6 +186,16 @@
             have been written all the same.
         """
 
+    async def append_at(self, topic: Topic, key: str, value: bytes, at: int) -> None:
+        """Write a record if the log ends at an offset.
+
+        Raises:
+          OffsetConflictError: If the log does not end there.
+          StoreError: If the store returns no usable response; the record may
+            have been written all the same.
+        """
+        raise StoreError("conditional writes are not supported; write to the store")
+
     @abstractmethod
     def close(self) -> None:
         """Close all connections."""
