--- a/tests/router/simulatedfleet.py
+++ b/tests/router/simulatedfleet.py
@@ -15,6 +15,7 @@
 from cranberrysail.router.memorystore import MemoryStore
 from cranberrysail.router.process import Router
 from cranberrysail.router.retrybudget import RetryBound
+from cranberrysail.router.rolloutmodel import RolloutBound
 from cranberrysail.router.store import Topic
 
 CALLERS_PORT = 8000
@@ -173,6 +174,7 @@
       born: Number of its incarnation.
       sequence: Sequence number of its latest declaration.
       cold_ms: Time until it is warm, as declared.
+      version: Version of its software, as declared.
       cancels_on_disconnect: True if it stops work when the connection closes.
     """
 
@@ -182,6 +184,7 @@
     answer: Answer
     zone: str = "a"
     slots: int = 6
+    version: str = "v1"
     born: int = 1
     sequence: int = 0
     cold_ms: int = 0
@@ -199,7 +202,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": self.slots,
                 "state": self.state,
                 "cold_remaining_ms": self.cold_ms,
@@ -317,6 +320,7 @@
         host: str = "10.0.0.1",
         relays: bool = True,
         zone: str = "a",
+        rollout: RolloutBound | None = None,
     ) -> Router:
         """Start a router and wait until it has read the store."""
         cfg = RouterConfig(
@@ -330,6 +334,7 @@
             relays=relays,
             cold=ColdBound(1.5, 5),
             repeats=RetryBound(0.2, 50, 10.0),
+            rollout=rollout,
         )
         store = self.store.view_for(name)
         router = Router(cfg, store, PlatformDecoder(), PlatformHeaderCodec())
