Tests of a router process that meets hostile callers

Real router processes on loopback with `memory_mb = 80` and `file_descriptors = 290` meet 16 to 120 connections that send heads without end, empty lines, chunked bodies that stop short, pipelined heads of many short lines and bodies for an endpoint that does not read, or that do not read their responses; on the ports for callers, peers, readiness and metrics. Checked are the process, VmHWM, open descriptors and one ordinary call afterwards; no times and no shares.

--- a/tests/processes/endpoint.py
+++ b/tests/processes/endpoint.py
@@ -1,7 +1,7 @@
 """A stand-in of an endpoint, as a process of its own: ``endpoint.py SETTINGS``.
 
 It prints a line of JSON for each request that it runs. A word on standard input changes
-how it behaves: ``sound``, ``slow``, ``reset``, ``endless`` or ``leaving``.
+how it behaves: ``sound``, ``slow``, ``reset``, ``endless``, ``leaving`` or ``deaf``.
 """
 
 import asyncio
@@ -51,6 +51,9 @@
     async def _serve(self, reader, writer) -> None:
         try:
             while True:
+                while self._mode == "deaf":
+                    # The reader's buffer fills up, and then those of the kernel.
+                    await asyncio.sleep(0.1)
                 await self._answer(await read_message(reader), writer)
         except (ClosedError, ConnectionError):
             pass
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -109,6 +109,7 @@
       log_path: What all its processes wrote.
       memory_kb: Resident memory of the present process at the last samples.
       descriptors: Its open descriptors at the last samples.
+      limits: Further lines of the settings file, such as a table of limits.
     """
 
     name: str
@@ -126,6 +127,7 @@
     memory_kb: list[int] = field(default_factory=list)
     descriptors: list[int] = field(default_factory=list)
     notes: int = 0
+    limits: str = ""
 
     def write_settings(self) -> None:
         """Write the settings file, with a change that has no effect."""
@@ -140,7 +142,7 @@
             store=self.proxy.address,
             note=self.notes,
         )
-        self.settings_path.write_text(text, encoding="utf-8")
+        self.settings_path.write_text(text + self.limits, encoding="utf-8")
 
     def sample(self) -> None:
         """Record memory and descriptors of the process."""
@@ -246,6 +248,23 @@
             while not all([await self._is_ready(r) for r in self.routers]):
                 await asyncio.sleep(0.1)
 
+    async def start_one_router(self, limits: str) -> RouterProcess:
+        """Start the store, one endpoint of each service and one router; return that.
+
+        Args:
+          limits: Further lines of its settings file.
+        """
+        await self.store.start(self._next_ip())
+        await self.publish(1, [])
+        await self.start_endpoint("p0", "plain", ZONES[0])
+        await self.start_endpoint("e0", "engines", ZONES[0])
+        router = await self._add_router(0)
+        router.limits = limits
+        router.write_settings()
+        self.spawn(self._supervise(router))
+        await self.wait_until_ready(router)
+        return router
+
     async def publish(self, version: int, later: list[str]) -> None:
         """Write a configuration."""
         document = json.dumps(make_config(version, later)).encode()
