--- a/tests/router/test_upgradeoffer.py
+++ b/tests/router/test_upgradeoffer.py
@@ -9,7 +9,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranberrysail.router import httplistener
 from cranberrysail.router.httplistener import HttpListener
 from tests.router.simulatedfleet import (
     Caller,
@@ -152,7 +151,7 @@
 
 def test_request_with_fewer_bytes_than_its_length_states_is_not_handled(monkeypatch):
     """Whatever the parser does."""
-    monkeypatch.setattr(httplistener.httptools, "HttpRequestParser", ForgetfulParser)
+    monkeypatch.setattr(httptools, "HttpRequestParser", ForgetfulParser)
     handled, statuses, _ = receive([make(0, "none", "length")])
     assert handled == []
     assert statuses == [b"400"]
