Limit what a process holds for its connections

Callers saw: a process that ran out of memory, with all its calls, when some callers sent heads without end, bodies in very many chunks, heads of legal size made of very many lines, or requests whose responses they did not read.

Causes: a body was a list of its chunks, so that two bytes took 60. A head was checked when it was complete, and its lines kept until then. Reading paused by the number of pipelined requests, but 256 KiB, which are read at once, contain 9,000. The next pipelined request was handled whether the response before it was read or not. Nothing limited all connections together, neither memory nor descriptors.

Now a body grows as one buffer, heads are limited while they are read, input is parsed in slices until the queue is full, and no request is handled before the response to the one before it was sent. One account per process (memoryaccount.py) is charged what each connection holds, and decides who yields; connectionlimit.py decides which connection closes when there are too many; resourcelimits.py carries both out for all listeners. The settings are `memory_mb` and `file_descriptors` of `limits`.

--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -53,6 +53,8 @@
 
 class _Limits(msgspec.Struct):
     link_mbps: float = 1000.0
+    memory_mb: float = 0.0
+    file_descriptors: int = 0
 
 
 class _NodeFile(msgspec.Struct):
@@ -100,6 +102,8 @@
         store=node.platform.address,
         peers=f"{node.ip_address}:{node.internal_port_range[0]}",
         relays=node.limits.link_mbps >= MIN_RELAY_MBPS,
+        memory_mb=node.limits.memory_mb,
+        file_descriptors=node.limits.file_descriptors,
         ready_path=READY_PATH,
         grace_s=bounds.grace_s,
         cold=ColdBound(bounds.cold_overage, bounds.cold_slack),
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -198,14 +198,12 @@
         self, call: Call, endpoint: Endpoint, conn: HttpClientConn
     ) -> None:
         endpoint.open_calls += 1
+        # It is not sent again.
+        call.request.body = b""
+        held = call.caller_conn.resources.hold(conn.unsent_bytes, conn.close)
         try:
-            async with asyncio.timeout(max(0.0, call.remaining_s)):
-                await conn.wait_for_head()
-                response = self._header_codec.response_head(conn.status, conn.headers)
-                self._record_wishes(
-                    endpoint, call.head.request_id, conn.status, response
-                )
-                await conn.read_up_to(MAX_BUFFERED_BYTES)
+            with held:
+                await self._read_rest(call, endpoint, conn)
         except (TimeoutError, UpstreamError) as exc:
             # The response to a call whose caller left was not received.
             if isinstance(exc, UpstreamError):
@@ -217,6 +215,15 @@
             endpoint.open_calls -= 1
             self.connection_pool.release(endpoint, conn)
 
+    async def _read_rest(
+        self, call: Call, endpoint: Endpoint, conn: HttpClientConn
+    ) -> None:
+        async with asyncio.timeout(max(0.0, call.remaining_s)):
+            await conn.wait_for_head()
+            response = self._header_codec.response_head(conn.status, conn.headers)
+            self._record_wishes(endpoint, call.head.request_id, conn.status, response)
+            await conn.read_up_to(MAX_BUFFERED_BYTES)
+
     def _request_bytes(self, call: Call, choice: Choice) -> bytes:
         cache_source = choice.cache_source
         info = EndpointRequestInfo(
@@ -252,7 +259,9 @@
         bodiless = call.request.method == "HEAD"
         conn.send(self._request_bytes(call, choice), matches_request, bodiless)
         call.begin_attempt()
+        call.caller_conn.charge_unsent_request(conn.unsent_bytes)
         await conn.wait_for_head()
+        call.caller_conn.charge_unsent_request(conn.unsent_bytes)
         response = self._header_codec.response_head(conn.status, conn.headers)
         self._record_wishes(endpoint, request_id, conn.status, response)
         conn.idle_timeout_s = response.idle_timeout_s
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -173,6 +173,15 @@
         body = msgspec.json.encode({"error": error_code})
         return [JSON_HEADER], body
 
+    def refusal_headers(self, request: HttpRequest) -> Headers:
+        """Return further headers of a refusal by the listener, which lacks memory."""
+        head = self._header_codec.call_head(request.headers)
+        retry_after_s = self._retry_after_s(
+            0.0, head.timeout_s or DEFAULT_CALLER_TIMEOUT_S
+        )
+        self._log.write("refused", id=head.request_id, why="memory_short")
+        return self._header_codec.error_headers(head.request_id, retry_after_s)
+
     def _send_error(
         self,
         conn: HttpServerConn,
--- a/cranberrysail/router/config.py
+++ b/cranberrysail/router/config.py
@@ -42,6 +42,8 @@
       peers: ``ip:port`` of this router's listener for other routers.
       relays: True if this router's link has the bandwidth to serve all other routers of
         its zone.
+      memory_mb: Memory that the process may take, in MB; 0 if the settings say nothing.
+      file_descriptors: Descriptors that it may open; 0 if the settings say nothing.
       grace_s: Time from the stop request until the process is killed.
       cold: Bound on the calls to a cold endpoint, that is, one that is still warming up
         after a start.
@@ -59,6 +61,8 @@
     peers: str
     relays: bool = True
     ready_path: str = "/ready"
+    memory_mb: float = 0.0
+    file_descriptors: int = 0
     grace_s: float = 8.0
     cold: ColdBound = field(default_factory=lambda: ColdBound(overage=1.0, slack=0.0))
     repeats: RetryBound = field(
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -262,6 +262,11 @@
             return False
         return not self._transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the request that the server has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def waiting(self) -> bool:
         """Return whether a coroutine is waiting for data from the server."""
--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 listeners, which accept connections and check their timeouts."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from cranberrysail.router.clock import now
@@ -10,9 +11,12 @@
     ResponseStartedError,
 )
 from cranberrysail.router.model import CallerLimits
+from cranberrysail.router.resourcelimits import ResourceLimits
 from cranberrysail.router.serverconn import (
+    KERNEL_BUFFER_BYTES,
     ErrorResponder,
     HttpServerConn,
+    RefusalResponder,
     RequestHandler,
 )
 
@@ -28,6 +32,12 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 # Interval of the check for open connections during shutdown.
 SHUTDOWN_POLL_INTERVAL_S = 0.05
+# Connections that wait in the kernel to be accepted.
+BACKLOG = 1024
+# Connections that are accepted in one pass of the event loop. Those above the limit are
+# closed in the next pass only, so their number has to be below the reserve.
+ACCEPT_BATCH = 32
+RETRY_AFTER_HEADERS = [(b"retry-after", b"1")]
 
 
 class HttpListener:
@@ -45,6 +55,9 @@
         handler: RequestHandler,
         error_response: ErrorResponder,
         on_error: Callable[[BaseException], None],
+        resources: ResourceLimits | None = None,
+        name: str = "",
+        refusal_headers: RefusalResponder = lambda request: RETRY_AFTER_HEADERS,
     ) -> None:
         """Create a listener that is not bound yet.
 
@@ -52,10 +65,18 @@
           handler: Handles one request on a connection.
           error_response: Returns headers and body for a status and an error code.
           on_error: Called with each exception that a handler raises.
+          resources: Memory and connections of the process, shared by its listeners;
+            None for limits of its own.
+          name: Name of the listener in log lines.
+          refusal_headers: Returns further headers of the response to a request that
+            is refused because memory is short.
         """
         self.handler = handler
         self.error_response = error_response
         self.on_error = on_error
+        self.resources = resources or ResourceLimits()
+        self.name = name
+        self.refusal_headers = refusal_headers
         self.limits = CallerLimits()
         self.draining = False
         self.closing_idle = False
@@ -81,8 +102,13 @@
                 "ssl_handshake_timeout": self.limits.header_timeout_s,
             }
         self._server = await loop.create_server(
-            lambda: HttpServerConn(self), host, port, backlog=1024, **tls_options
+            lambda: HttpServerConn(self),
+            host,
+            port,
+            backlog=ACCEPT_BATCH,
+            **tls_options,
         )
+        _set_buffers(self._server.sockets[0])
         return self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
@@ -116,3 +142,15 @@
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             for conn in list(self.conns):
                 conn.check_timeouts()
+
+
+def _set_buffers(sock: asyncio.trsock.TransportSocket) -> None:
+    """Set the kernel's buffers of a listener; accepted connections inherit them.
+
+    The event loop accepts as many connections in one pass as its backlog, which is
+    therefore short; the kernel's may be longer.
+    """
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+    with sock.dup() as duplicate:
+        duplicate.listen(BACKLOG)
--- a/cranberrysail/router/httprequest.py
+++ b/cranberrysail/router/httprequest.py
@@ -11,6 +11,7 @@
     OverheadMeter,
 )
 from cranberrysail.router.clock import now
+from cranberrysail.router.memoryaccount import head_field_bytes
 from cranberrysail.router.model import CallerLimits
 from cranberrysail.router.upgradeoffer import BodyParserCallbacks, head_without_offer
 
@@ -19,6 +20,15 @@
 # A head may have this many times the bytes that count towards its limit, which leaves
 # out white space and the request line.
 HEAD_SIZE_MARGIN = 2
+# Limit on the raw bytes of a head whatever the tables say, as a slice of input may
+# contain the end of the request before it.
+MIN_RAW_HEAD_BYTES = 32 * 1024
+# Input is parsed in slices of this size, so that a request that is rejected, or a full
+# queue, stops the parser early. 256 KiB, which is read from a socket at once, can
+# contain 9,000 requests. Most requests fit into one slice.
+SLICE_BYTES = 4 * 1024
+# A request with its list of headers and its target. Measured: 0.4 KB.
+REQUEST_BYTES = 512
 
 
 @dataclass(slots=True)
@@ -32,6 +42,7 @@
       wants_close: True if the connection closes after the response, as the caller
         asked or its HTTP version implies.
       supports_chunked: True if the response may be chunked, as from HTTP/1.1 on.
+      held_bytes: Memory that the request takes, with its objects.
     """
 
     method: str = ""
@@ -41,6 +52,7 @@
     arrived_s: float = 0.0
     wants_close: bool = False
     supports_chunked: bool = True
+    held_bytes: int = 0
 
     def header(self, name: bytes) -> bytes:
         """Return the first header of a name, or empty bytes."""
@@ -63,6 +75,10 @@
     def ignores_requests(self) -> bool:
         """Return whether what is received further is of no use."""
 
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether there is room for another request in the queue."""
+
     def request_begun(self) -> None:
         """Take note of the first line of a request."""
 
@@ -93,20 +109,77 @@
         self._sink = sink
         self._parser = httptools.HttpRequestParser(self)
         self._overhead = self._create_meter()
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._unparsed = b""
+        self._offset = 0
+        self._is_parsing = False
+        self._raw_head_bytes = 0
+        # Those that count towards the limit of the tables.
+        self._head_bytes = 0
+        self._head_objects_bytes = 0
+        self._body = bytearray()
+        self._content_length = 0
         self.request: HttpRequest | None = None
         self.reading_head = True
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that an incomplete request and unparsed input take."""
+        unparsed = len(self._unparsed)
+        if self.request is None:
+            return unparsed
+        body = self._body.__sizeof__()
+        return REQUEST_BYTES + self._head_objects_bytes + body + unparsed
+
+    def discard(self) -> None:
+        """Release what was received of an incomplete request, and unparsed input."""
+        self._unparsed, self._offset = b"", 0
+        self._body = bytearray()
+        self._head_objects_bytes = 0
+        if self.request is not None:
+            self.request = HttpRequest()
+
     def _create_meter(self) -> OverheadMeter:
         max_head_bytes = HEAD_SIZE_MARGIN * self._sink.caller_limits.max_header_bytes
         return OverheadMeter(max(MAX_OVERHEAD_BYTES, max_head_bytes))
 
     def feed(self, data: bytes) -> None:
-        """Parse request bytes; reject a malformed or overlong request."""
+        """Parse what was received, or keep it while the queue is full."""
         if self._sink.ignores_requests:
             return
+        if self._unparsed:
+            data = self._unparsed[self._offset :] + data
+        self._unparsed, self._offset = data, 0
+        self.resume()
+
+    def resume(self) -> None:
+        """Parse input that was kept, as far as there is room for requests."""
+        if self._is_parsing:
+            return
+        self._is_parsing = True
+        try:
+            while self._unparsed and self._sink.takes_requests:
+                self._parse_slice(self._next_slice())
+                if self._sink.ignores_requests:
+                    self.discard()
+        finally:
+            self._is_parsing = False
+
+    def _next_slice(self) -> bytes:
+        size = SLICE_BYTES
+        if not self.reading_head:
+            size = max(size, self._content_length - len(self._body))
+        data, start = self._unparsed, self._offset
+        if start + size < len(data):
+            self._offset += size
+            return data[start : start + size]
+        self._unparsed, self._offset = b"", 0
+        return data[start:]
+
+    def _parse_slice(self, data: bytes) -> None:
+        """Parse a part of the input; reject a malformed or overlong request."""
         self._overhead.add_received(len(data))
+        if self.reading_head:
+            self._raw_head_bytes += len(data)
         try:
             self._parse(data)
             self._overhead.check()
@@ -114,6 +187,13 @@
             self._sink.reject(400, "bad_request")
         except MessageTooLongError:
             self._sink.reject(431, "headers_too_large")
+        if self.reading_head and self._raw_head_bytes > self._max_raw_head_bytes:
+            self._sink.reject(431, "headers_too_large")
+
+    @property
+    def _max_raw_head_bytes(self) -> int:
+        max_head_bytes = self._sink.caller_limits.max_header_bytes
+        return max(MIN_RAW_HEAD_BYTES, HEAD_SIZE_MARGIN * max_head_bytes)
 
     def _parse(self, data: bytes) -> None:
         while True:
@@ -133,35 +213,53 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
+        if self._sink.ignores_requests:
+            return
         self.request = HttpRequest()
-        self._body_chunks = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._content_length = 0
+        self._head_bytes = self._head_objects_bytes = 0
         self.reading_head = True
         self._sink.request_begun()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
+        if self._sink.ignores_requests:
+            return
         self.request.target += url
+        self._head_objects_bytes += len(url)
+        self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailer fields are discarded (RFC 9110, section 6.5.1)."""
-        if self.reading_head:
-            self.request.headers.append((name.lower(), value))
+        if not self.reading_head or self._sink.ignores_requests:
+            return
+        self.request.headers.append((name.lower(), value))
+        self._head_objects_bytes += head_field_bytes(name, value)
+        self._count_head_bytes(len(name) + len(value) + 4)
+
+    def _count_head_bytes(self, size: int) -> None:
+        """Reject a head that is too large while it is being read."""
+        self._head_bytes += size
+        if self._head_bytes > self._sink.caller_limits.max_header_bytes:
+            self._sink.reject(431, "headers_too_large")
 
     def on_headers_complete(self) -> None:
         """Validate the request head before its body is read."""
-        request, limits = self.request, self._sink.caller_limits
         self.reading_head = False
+        self._raw_head_bytes = 0
+        if self._sink.ignores_requests:
+            return
+        request, limits = self.request, self._sink.caller_limits
         request.arrived_s = now()
         request.method = self._parser.get_method().decode("latin-1")
         request.wants_close = not self._parser.should_keep_alive()
         request.supports_chunked = self._parser.get_http_version() == "1.1"
-        size = sum(len(n) + len(v) + 4 for n, v in request.headers)
-        if size + len(request.target) > limits.max_header_bytes:
-            self._sink.reject(431, "headers_too_large")
-        elif not _is_well_formed(request):
+        if not _is_well_formed(request):
             self._sink.reject(400, "bad_request")
-        elif _content_length(request) > limits.max_body_bytes:
+            return
+        self._content_length = _content_length(request)
+        if self._content_length > limits.max_body_bytes:
             self._sink.reject(413, "body_too_large")
         elif request.header(b"expect").lower() == b"100-continue":
             self._sink.request_expects_continue()
@@ -171,9 +269,8 @@
         self._overhead.add_body(len(body))
         if self._sink.ignores_requests:
             return
-        self._body_chunks.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._sink.caller_limits.max_body_bytes:
+        self._body += body
+        if len(self._body) > self._sink.caller_limits.max_body_bytes:
             self._sink.reject(413, "body_too_large")
 
     def on_message_complete(self) -> None:
@@ -183,14 +280,16 @@
         if self._parser.should_upgrade():
             # The parser stops behind the head; the body follows.
             return
-        if self._body_bytes < _content_length(self.request):
+        if len(self._body) < self._content_length:
             self._sink.reject(400, "bad_request")
             return
         request, self.request = self.request, None
         self._overhead = self._create_meter()
         self.reading_head = True
-        request.body = b"".join(self._body_chunks)
-        self._body_chunks = []
+        self._raw_head_bytes = 0
+        request.body = bytes(self._body)
+        request.held_bytes = REQUEST_BYTES + self._head_objects_bytes + len(self._body)
+        self._body = bytearray()
         self._sink.request_received(request)
 
 
--- a/cranberrysail/router/httpresponse.py
+++ b/cranberrysail/router/httpresponse.py
@@ -92,6 +92,16 @@
         self.close_after_response = request.wants_close
         self._supports_chunked = request.supports_chunked
 
+    @property
+    def is_writable(self) -> bool:
+        """Return whether the caller reads what it is sent."""
+        return self._writable.is_set()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much of what was written is still in this process."""
+        return self._transport.get_write_buffer_size()
+
     def pause(self) -> None:
         """Make writers wait for a slow caller."""
         self._writable.clear()
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -32,6 +32,7 @@
 from cranberrysail.router.quarantine import ContentStage, Quarantine
 from cranberrysail.router.quarantineexchange import QuarantineExchange
 from cranberrysail.router.quarantinestore import StoredQuarantine
+from cranberrysail.router.resourcelimits import ResourceLimits
 from cranberrysail.router.selector import Selector
 from cranberrysail.router.store import BaseStore
 
@@ -127,10 +128,16 @@
             self.log,
             self.metrics,
         )
+        self.resources = ResourceLimits(
+            cfg.memory_mb, cfg.file_descriptors, self._on_shed
+        )
         self.listener = HttpListener(
             self.call_handler.serve,
             self.call_handler.error_response,
             self._on_unexpected_error,
+            self.resources,
+            "callers",
+            self.call_handler.refusal_headers,
         )
         self._stop_requested_s: float | None = None
         self.background_tasks = BackgroundTasks(self.log, self.metrics)
@@ -155,6 +162,20 @@
         self.log.write("internal_error", why=repr(exc), where=location(exc))
         self.metrics.count("internal_errors")
 
+    def _on_shed(self, listener: str, client: str, why: str, held_bytes: int) -> None:
+        account = self.resources.account
+        self.log.write(
+            "client_shed",
+            listener=listener,
+            client=client,
+            why=why,
+            held_kb=held_bytes // 1024,
+            used_kb=account.used // 1024,
+            budget_kb=account.budget // 1024,
+            connections=len(self.resources.connections),
+        )
+        self.metrics.count("clients_shed", f"{listener} {why}")
+
     def _on_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
     ) -> None:
@@ -181,6 +202,10 @@
         gauges = {
             "callers": len(self.listener.conns),
             "calls_open": self.listener.busy_connections,
+            "memory_held_bytes": self.resources.account.used,
+            "memory_budget_bytes": self.resources.account.budget,
+            "connections_accepted": len(self.resources.connections),
+            "connections_allowed": self.resources.connections.max_connections,
             "endpoints": len(self.endpoints),
             "routers": len(self.routers),
             "tables_version": self.routing_state.tables.version if self.ready else 0,
@@ -301,6 +326,7 @@
 
     async def _listen(self, name: str, address: str, listener: HttpListener) -> None:
         host, _, port = address.rpartition(":")
+        listener.resources, listener.name = self.resources, name
         await listener.start(host, int(port))
         self.background_tasks.start(f"{name}_timeouts", listener.check_timeouts_forever)
 
@@ -376,6 +402,7 @@
         self.cfg = cfg
         self.selector.configure(cfg)
         self.call_handler.configure(cfg)
+        self.resources.configure(cfg.memory_mb, cfg.file_descriptors)
         self.log.write("reloaded", why=why, changed=changed)
 
     def close(self) -> None:
--- /dev/null
+++ b/cranberrysail/router/resourcelimits.py
@@ -0,0 +1,101 @@
+"""Memory and descriptors of a process, shared by all its listeners."""
+
+import resource
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from cranberrysail.router.clock import now
+from cranberrysail.router.connectionlimit import ConnectionLimit, max_accepted
+from cranberrysail.router.memoryaccount import (
+    HoldingKind,
+    MemoryAccount,
+    MemoryHolding,
+    budget_bytes,
+)
+
+__all__ = ["ResourceLimits", "ShedReason", "ShedReporter"]
+
+# Is told the listener, the address of the client, why it was shed, and the bytes held.
+ShedReporter = Callable[[str, str, str, int], None]
+
+
+class ShedReason:
+    """Why a connection was closed or a request refused, in log lines and metrics."""
+
+    DESCRIPTORS = "descriptors"
+    REFUSED = "memory_refused"
+    STUCK = "unread_timeout"
+
+
+def _ignore(listener: str, client: str, why: str, held_bytes: int) -> None:
+    """Report nothing."""
+
+
+class ResourceLimits:
+    """Carries out what the account of memory and the limit on connections decide.
+
+    Attributes:
+      account: What all connections hold.
+      connections: All accepted connections.
+    """
+
+    def __init__(
+        self,
+        memory_mb: float = 0.0,
+        file_descriptors: int = 0,
+        report: ShedReporter = _ignore,
+    ) -> None:
+        """Create limits for a process without connections.
+
+        Args:
+          memory_mb: Memory of the process in MB; 0 if it is not known.
+          file_descriptors: Descriptors that it may open; 0 if that is not known.
+          report: Told of each connection that is closed and each request refused.
+        """
+        self.account = MemoryAccount()
+        self.connections = ConnectionLimit(0)
+        self.report = report
+        self._is_relieving = False
+        self.configure(memory_mb, file_descriptors)
+
+    def configure(self, memory_mb: float, file_descriptors: int) -> None:
+        """Apply changed settings."""
+        self.account.budget = budget_bytes(memory_mb)
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if 0 < allowed < (file_descriptors or allowed + 1):
+            file_descriptors = allowed
+        self.connections.max_connections = max_accepted(file_descriptors)
+
+    def charge(self, holding: MemoryHolding, held_bytes: int) -> None:
+        """Set what a holding holds, and have others yield if memory is short."""
+        if holding.held_bytes == held_bytes:
+            return
+        self.account.charge(holding, held_bytes, now())
+        if self.account.is_short:
+            self.relieve()
+
+    def relieve(self) -> None:
+        """Release memory while it is short."""
+        if self._is_relieving:
+            return
+        self._is_relieving = True
+        try:
+            for holding in self.account.next_to_yield(now()):
+                holding.release()
+        finally:
+            self._is_relieving = False
+
+    @contextmanager
+    def hold(self, held_bytes: int, release: Callable[[], None]) -> Iterator[None]:
+        """Charge memory that belongs to no connection of a listener.
+
+        Args:
+          held_bytes: The memory.
+          release: Called to release it early.
+        """
+        holding = MemoryHolding(release, HoldingKind.RUNNING)
+        self.charge(holding, held_bytes)
+        try:
+            yield
+        finally:
+            self.charge(holding, 0)
--- a/tests/router/virtualloop.py
+++ b/tests/router/virtualloop.py
@@ -162,6 +162,21 @@
     def getsockname(self) -> tuple[str, int]:
         return self._address
 
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        pass
+
+    def dup(self) -> "MemoryServer":
+        return self
+
+    def __enter__(self) -> "MemoryServer":
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        pass
+
+    def listen(self, backlog: int) -> None:
+        pass
+
     def close(self) -> None:
         self._loop.servers.pop(self._address, None)
 
