Responses: reject invalid status lines, and stop parsing at what is rejected

What callers saw: a response with status 000 or 099 that stayed open gave 504 at the deadline (the head was skipped as an interim response); with another response behind it, the caller got that one as a 200. Statuses 600 and 999, and heads of HTTP/0.9 and HTTP/2.0, were delivered. The body of a 199 was put in front of the next response's ("part of a bodyxy", content-length 16), and so was one with the coding "gzip, chunked" if a valid response followed it.

Cause: the parser accepts any three digits and four versions, each status below 200 counted as interim, and callbacks that reject a head let the parser read on.

check_status_line decides once: HTTP/1.0 or 1.1, 100 to 599. Rejections are raised from the callback, which ends the parsing, and fail as other invalid responses do.

--- a/cranberrysail/router/bodyframing.py
+++ b/cranberrysail/router/bodyframing.py
@@ -1,4 +1,7 @@
-"""How the end of an HTTP response body is found (RFC 9112, section 6.3)."""
+"""Which response heads are valid, and how the end of a body is found.
+
+Source: RFC 9112, sections 4 and 6.3.
+"""
 
 from enum import StrEnum
 
@@ -7,9 +10,12 @@
     "FRAMING_HEADERS",
     "MAX_OVERHEAD_BYTES",
     "BodyFraming",
+    "InvalidResponseError",
     "MessageTooLongError",
     "OverheadMeter",
     "UnsupportedCodingError",
+    "check_status_line",
+    "is_interim",
     "response_framing",
 ]
 
@@ -18,7 +24,13 @@
 FRAMING_HEADERS = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
 # Responses with these statuses have no body (RFC 9110, section 6.4.1).
 BODILESS_STATUSES = frozenset((204, 304))
-
+# Statuses of responses (RFC 9110, section 15). Others, such as 000 and 600, are sent by
+# endpoints that fail, and callers do not know what they mean. The parser accepts any
+# three digits.
+STATUSES = range(100, 600)
+INTERIM_STATUSES = range(100, 200)
+# The parser accepts HTTP/0.9, which has no status line, and HTTP/2.0, too.
+HTTP_VERSIONS = frozenset(("1.0", "1.1"))
 
 # Limit on the bytes of a message besides its body: head, interim responses, lines of
 # chunks, trailers, and empty lines before it.
@@ -89,13 +101,38 @@
     CLOSE = "close"
 
 
-class UnsupportedCodingError(ValueError):
+class InvalidResponseError(ValueError):
+    """What was received is no response, so its sender has failed."""
+
+
+class UnsupportedCodingError(InvalidResponseError):
     """A response has a transfer coding besides chunked, which was not asked for."""
 
     def __init__(self, coding: bytes) -> None:
         super().__init__(f"unsupported transfer coding {coding.decode('latin-1')!r}")
 
 
+def check_status_line(status: int, http_version: str) -> None:
+    """Check that a status line is one of a response.
+
+    Args:
+      status: Status, of three digits.
+      http_version: Version, such as ``1.1``.
+
+    Raises:
+      InvalidResponseError: If it is not.
+    """
+    if http_version not in HTTP_VERSIONS:
+        raise InvalidResponseError(f"unsupported version HTTP/{http_version}")
+    if status not in STATUSES:
+        raise InvalidResponseError(f"invalid status {status:03}")
+
+
+def is_interim(status: int) -> bool:
+    """Return whether a response with this status is followed by another one."""
+    return status in INTERIM_STATUSES
+
+
 def response_framing(
     status: int, headers: list[tuple[bytes, bytes]], bodiless: bool
 ) -> BodyFraming:
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -12,9 +12,11 @@
 from cranberrysail.router.bodyframing import (
     FRAMING_HEADERS,
     BodyFraming,
+    InvalidResponseError,
     MessageTooLongError,
     OverheadMeter,
-    UnsupportedCodingError,
+    check_status_line,
+    is_interim,
     response_framing,
 )
 from cranberrysail.router.clock import now
@@ -111,7 +113,7 @@
             if not self.complete:
                 self._overhead.check()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"invalid HTTP response ({type(exc).__name__})")
+            self._fail(f"invalid HTTP response ({_parser_error_reason(exc)})")
             self.close()
         except MessageTooLongError as exc:
             self._fail(f"invalid HTTP response ({exc})")
@@ -166,28 +168,35 @@
         """Store the response head; ignore interim (1xx) responses.
 
         Skips responses to other requests.
+
+        Raises:
+          InvalidResponseError: If it is no response, or its end is not known; the
+            parser then reads no further.
         """
         status = self._parser.get_status_code()
         headers, self._parsed_headers = self._parsed_headers, []
-        if status < 200 or self.complete:
+        if self.complete:
+            return
+        check_status_line(status, self._parser.get_http_version())
+        if is_interim(status):
             return
         if self._match is not None and not self._match(status, headers):
             self._skipping = True
             self.reusable = False
             return
-        try:
-            self.framing = response_framing(status, headers, self._bodiless)
-        except UnsupportedCodingError as exc:
-            self._fail(str(exc))
-            self.close()
-            return
+        self.framing = response_framing(status, headers, self._bodiless)
         self.status, self.headers = status, headers
         if self._bodiless:
             self._finish()
         self._wake()
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a part of the body; pause reading at the high-water mark."""
+        """Buffer a part of the body; pause reading at the high-water mark.
+
+        Raises:
+          InvalidResponseError: If it is the body of an interim response, which has
+            none.
+        """
         self._overhead.add_body(len(body))
         if self._skipping:
             self._discard(len(body))
@@ -195,6 +204,8 @@
         if self.complete:
             self.reusable = False
             return
+        if not self.status:
+            raise InvalidResponseError("an interim response has a body")
         self._chunks.append(body)
         self.body_bytes += len(body)
         self._buffered_bytes += len(body)
@@ -407,6 +418,12 @@
             self._transport.abort()
 
 
+def _parser_error_reason(exc: Exception) -> str:
+    """Return what is invalid: the error of a callback, or that of the parser."""
+    cause = exc.__context__
+    return str(cause) if isinstance(cause, ValueError) else type(exc).__name__
+
+
 async def connect(
     address: str,
     timeout_s: float,
