Responses: a body is not complete by the end of a connection that left the upload

What callers saw: an endpoint answered an upload of 3 or 7 MB at once with a 200 without a length, sent a part and an end of input, and reset or kept the connection. The caller received the part as a complete 200 with a length; streams and resumed streams looked complete, too.

Cause: any end of input completed such a body. An end of input that arrives before a reset hides it: the kernel then reports no error to reads.

At the end of input, the request must have been sent and acknowledged as a whole, and the connection must not have been reset (TCP_INFO). An acknowledgement of all that an endpoint has read arrives at the latest with its end of input, so responses that follow a whole upload are not affected. Otherwise the attempt fails as after a reset.

Resets without an end of input were not taken for an end before, either. The virtual loop's socket has no kernel state, which counts as unknown.

--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -20,6 +20,7 @@
     response_framing,
 )
 from cranberrysail.router.clock import now
+from cranberrysail.router.tcpstate import read_tcp_state
 
 __all__ = ["HttpClientConn", "connect"]
 
@@ -121,17 +122,42 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
+        self.reusable = False
         if (
             self._busy
             and self.status
             and self.framing is BodyFraming.CLOSE
+            and not self.complete
             and not self._skipping
             and self._ended_by_server()
         ):
-            self._finish()
-        self.reusable = False
+            fault = self._fault_at_end()
+            if fault:
+                self._disconnected = True
+                self._fail(fault)
+            else:
+                self._finish()
         return False
 
+    def _fault_at_end(self) -> str:
+        """Return why a body that the connection's end delimits is not whole.
+
+        The result is empty if nothing indicates that. A server that ends its response
+        before it has received the whole request has failed or given up, and then the
+        end tells nothing of the response. What the server received but did not read is
+        not known; if it closes its socket before it reads that, it sends a reset.
+        """
+        if self._transport.get_write_buffer_size():
+            return "the connection ended before the request was sent"
+        tcp_state = read_tcp_state(self._transport)
+        if tcp_state is None:
+            return ""
+        if tcp_state.was_reset:
+            return "the connection was reset after its end"
+        if tcp_state.has_unacknowledged:
+            return "the connection ended before the request was received"
+        return ""
+
     def _ended_by_server(self) -> bool:
         """Return whether the server ended the connection, as TLS shows by an alert.
 
--- a/tests/router/test_httpclient.py
+++ b/tests/router/test_httpclient.py
@@ -1,8 +1,12 @@
 """Responses on client connections: where they end, and whether they are whole."""
 
 import asyncio
+import contextlib
 import itertools
+import socket
 import ssl
+import struct
+import time
 
 import pytest
 from hypothesis import given, settings
@@ -16,6 +20,14 @@
 from tests.router.virtualloop import run_virtual
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+# Time in which a client sees what its server did.
+SEEN_WITHIN_S = 0.3
+# More than sockets buffer, so that it is not received whole unless it is read.
+LONG_BYTES = 20_000_000
+LONG_REQUEST = b"PUT / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n%b" % (
+    LONG_BYTES,
+    bytes(LONG_BYTES),
+)
 
 
 def run_requests(scripts, scenario):
@@ -28,9 +40,9 @@
     return run_virtual(main)
 
 
-async def fetch(conn):
+async def fetch(conn, request=REQUEST):
     """Send a request and return the whole body."""
-    conn.send(REQUEST)
+    conn.send(request)
     await conn.wait_for_head()
     body = b""
     while data := await conn.read():
@@ -150,6 +162,48 @@
     assert fetch_over_tls(tmp_path, script) == b"whole"
 
 
+@pytest.mark.parametrize("alert", [False, True])
+@pytest.mark.parametrize("reset", [False, True])
+def test_tls_response_to_an_upload_that_was_not_read_is_not_whole(
+    tmp_path, alert, reset
+):
+    """Guards against a part as a whole body: a closure alert proves only its sender."""
+    make_certificate(tmp_path)
+    server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server_tls.load_cert_chain(tmp_path / "cert.pem", tmp_path / "key.pem")
+    client_tls = ssl.create_default_context(cafile=tmp_path / "cert.pem")
+    client_tls.check_hostname = False
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def respond_early():
+        conn = server_tls.wrap_socket(listener.accept()[0], server_side=True)
+        conn.recv(100)
+        conn.send(response(b"half", BodyFraming.CLOSE))
+        conn.settimeout(SEEN_WITHIN_S)
+        if alert:
+            # Unread bytes of the request follow in place of the client's alert.
+            with contextlib.suppress(OSError):
+                conn.unwrap()
+            time.sleep(SEEN_WITHIN_S)
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        conn.close()
+
+    async def main():
+        server = asyncio.get_running_loop().run_in_executor(None, respond_early)
+        host, port = listener.getsockname()
+        try:
+            conn = await connect(f"{host}:{port}", 5.0, client_tls)
+            with pytest.raises(UpstreamError):
+                await fetch(conn, LONG_REQUEST)
+        finally:
+            await server
+            listener.close()
+
+    asyncio.run(main())
+
+
 def test_response_that_switches_protocols_fails_without_an_internal_error():
     switching = b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nother"
     errors = []
--- a/tests/router/virtualloop.py
+++ b/tests/router/virtualloop.py
@@ -26,6 +26,13 @@
             enabled, seconds = struct.unpack("ii", value)
             self.resets_on_close = bool(enabled and not seconds)
 
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return nothing: there is no kernel that knows of the connection."""
+        return b""
+
+    def dup(self) -> socket.socket:
+        raise OSError("the connection has no socket")
+
 
 class MemoryTransport(asyncio.Transport):
     """One end of an in-memory connection; data arrives after a delay, in order.
