Responses: do not reuse a connection behind an upload that was not received

What callers saw: 504, on a connection whose endpoint had answered an upload of 3 MB without reading it; the next request stood behind the rest of that upload.

Cause: only the event loop's buffer was checked for unsent bytes, not the kernel's, which takes up to 4 MiB. Unacknowledged bytes now count as well.

--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -282,12 +282,20 @@
     def _finish(self) -> None:
         self.complete = True
         self.idle_since_s = now()
-        # Unsent bytes mean that the server responded before it read the whole request,
-        # so it may not read the rest.
-        if self.framing is BodyFraming.CLOSE or self._transport.get_write_buffer_size():
+        if self.framing is BodyFraming.CLOSE or self._is_request_unread():
             self.reusable = False
         self._wake()
 
+    def _is_request_unread(self) -> bool:
+        """Return whether the server responded before it received the whole request.
+
+        It may never read the rest, and the next request would wait behind it.
+        """
+        if self._transport.get_write_buffer_size():
+            return True
+        tcp_state = read_tcp_state(self._transport)
+        return tcp_state is not None and tcp_state.has_unacknowledged
+
     def _fail(self, reason: str) -> None:
         if self._failure_reason is None:
             self._failure_reason = reason
--- a/tests/router/test_complete_responses.py
+++ b/tests/router/test_complete_responses.py
@@ -4,15 +4,20 @@
 not get a part of it as if it were whole.
 """
 
+import asyncio
+
 import pytest
 
 from tests.router.realfleet import (
     PART,
+    STEP_S,
     Ending,
     call,
     head,
     length,
+    run_real,
 )
+from tests.router.simulatedfleet import make_request
 
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
 # Taken into the send buffer of the router's kernel, of up to 4 MiB, as a whole.
@@ -141,3 +146,35 @@
     data = head(b"Content-Length: 1000\r\n") + PART
     caller, _ = call(ending.after(data), upload=upload, writer_first=writer_first)
     assert caller.status == 502
+
+
+@UPLOADS
+def test_endpoint_that_reads_on_after_its_response_gets_only_the_rest(upload):
+    """Guards against the next request where the rest of a body is due.
+
+    The next call must not wait behind a body that may never be read, either.
+    """
+
+    async def respond_early(endpoint):
+        endpoint.send(head(length(PART)) + PART)
+        await asyncio.sleep(5 * STEP_S)
+        await endpoint.read_on()
+
+    async def respond(endpoint):
+        await endpoint.read_request()
+        framing = length(PART) + b"Connection: close\r\n"
+        endpoint.send(head(framing, attempt=b"a2") + PART)
+
+    async def scenario(fleet):
+        first = await fleet.call(make_request("/book/1", body=b"u" * upload))
+        others = [
+            await fleet.call(make_request("/book/1", "a2", b"w" * 1000))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(10 * STEP_S)
+        return [first, *others], fleet
+
+    callers, fleet = run_real([respond_early] + [respond] * 4, scenario)
+    assert [caller.status for caller in callers] == [200] * 5
+    body = fleet.conns[0].received.partition(b"\r\n\r\n")[2]
+    assert set(body) <= set(b"u")
