--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -12,12 +12,15 @@
 from cranberrysail.router.bodyframing import (
     FRAMING_HEADERS,
     BodyFraming,
+    InvalidResponseError,
     MessageTooLongError,
     OverheadMeter,
-    UnsupportedCodingError,
+    check_status_line,
+    is_interim,
     response_framing,
 )
 from cranberrysail.router.clock import now
+from cranberrysail.router.tcpstate import read_tcp_state, read_unread_bytes
 
 __all__ = ["HttpClientConn", "connect"]
 
@@ -27,6 +30,9 @@
 MAX_HEADERS = 128
 # Limit on the bodies of responses to other requests, which are discarded.
 MAX_DISCARDED_BYTES = 256 * 1024
+# Limit on the bytes that are still read from a connection that was reset; the rest of a
+# response that is larger is lost.
+MAX_BYTES_AFTER_RESET = 1024 * 1024
 # A connection whose data stays unacknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 1000
 # An idle connection is probed after one second, and closed one second later if there
@@ -111,7 +117,7 @@
             if not self.complete:
                 self._overhead.check()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"invalid HTTP response ({type(exc).__name__})")
+            self._fail(f"invalid HTTP response ({_parser_error_reason(exc)})")
             self.close()
         except MessageTooLongError as exc:
             self._fail(f"invalid HTTP response ({exc})")
@@ -119,17 +125,42 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
+        self.reusable = False
         if (
             self._busy
             and self.status
             and self.framing is BodyFraming.CLOSE
+            and not self.complete
             and not self._skipping
             and self._ended_by_server()
         ):
-            self._finish()
-        self.reusable = False
+            fault = self._fault_at_end()
+            if fault:
+                self._disconnected = True
+                self._fail(fault)
+            else:
+                self._finish()
         return False
 
+    def _fault_at_end(self) -> str:
+        """Return why a body that the connection's end delimits is not whole.
+
+        The result is empty if nothing indicates that. A server that ends its response
+        before it has received the whole request has failed or given up, and then the
+        end tells nothing of the response. What the server received but did not read is
+        not known; if it closes its socket before it reads that, it sends a reset.
+        """
+        if self._transport.get_write_buffer_size():
+            return "the connection ended before the request was sent"
+        tcp_state = read_tcp_state(self._transport)
+        if tcp_state is None:
+            return ""
+        if tcp_state.was_reset:
+            return "the connection was reset after its end"
+        if tcp_state.has_unacknowledged:
+            return "the connection ended before the request was received"
+        return ""
+
     def _ended_by_server(self) -> bool:
         """Return whether the server ended the connection, as TLS shows by an alert.
 
@@ -144,13 +175,29 @@
             return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the pending request."""
+        """Fail the pending request, unless its response has arrived."""
         self.reusable = False
+        if exc is not None:
+            self._receive_rest()
         # Other errors, such as a timeout, tell that the server cannot be reached.
         if self._failure_reason is None:
             self._disconnected = exc is None or isinstance(exc, ConnectionError)
         self._fail(f"connection lost ({exc})" if exc else "connection closed")
 
+    def _receive_rest(self) -> None:
+        """Parse what arrived before a reset that a write has met.
+
+        A complete response to a request that was still being sent may be among it.
+        """
+        is_unfinished = self._busy and not self.complete
+        if not is_unfinished or self._failure_reason is not None:
+            return
+        if self._transport.get_extra_info("ssl_object") is not None:
+            return
+        data = read_unread_bytes(self._transport, MAX_BYTES_AFTER_RESET)
+        if data:
+            self.data_received(data)
+
     def on_message_begin(self) -> None:
         """Note that bytes follow the response, which belong to no request."""
         if self.complete:
@@ -166,28 +213,35 @@
         """Store the response head; ignore interim (1xx) responses.
 
         Skips responses to other requests.
+
+        Raises:
+          InvalidResponseError: If it is no response, or its end is not known; the
+            parser then reads no further.
         """
         status = self._parser.get_status_code()
         headers, self._parsed_headers = self._parsed_headers, []
-        if status < 200 or self.complete:
+        if self.complete:
+            return
+        check_status_line(status, self._parser.get_http_version())
+        if is_interim(status):
             return
         if self._match is not None and not self._match(status, headers):
             self._skipping = True
             self.reusable = False
             return
-        try:
-            self.framing = response_framing(status, headers, self._bodiless)
-        except UnsupportedCodingError as exc:
-            self._fail(str(exc))
-            self.close()
-            return
+        self.framing = response_framing(status, headers, self._bodiless)
         self.status, self.headers = status, headers
         if self._bodiless:
             self._finish()
         self._wake()
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a part of the body; pause reading at the high-water mark."""
+        """Buffer a part of the body; pause reading at the high-water mark.
+
+        Raises:
+          InvalidResponseError: If it is the body of an interim response, which has
+            none.
+        """
         self._overhead.add_body(len(body))
         if self._skipping:
             self._discard(len(body))
@@ -195,6 +249,8 @@
         if self.complete:
             self.reusable = False
             return
+        if not self.status:
+            raise InvalidResponseError("an interim response has a body")
         self._chunks.append(body)
         self.body_bytes += len(body)
         self._buffered_bytes += len(body)
@@ -226,12 +282,20 @@
     def _finish(self) -> None:
         self.complete = True
         self.idle_since_s = now()
-        # Unsent bytes mean that the server responded before it read the whole request,
-        # so it may not read the rest.
-        if self.framing is BodyFraming.CLOSE or self._transport.get_write_buffer_size():
+        if self.framing is BodyFraming.CLOSE or self._is_request_unread():
             self.reusable = False
         self._wake()
 
+    def _is_request_unread(self) -> bool:
+        """Return whether the server responded before it received the whole request.
+
+        It may never read the rest, and the next request would wait behind it.
+        """
+        if self._transport.get_write_buffer_size():
+            return True
+        tcp_state = read_tcp_state(self._transport)
+        return tcp_state is not None and tcp_state.has_unacknowledged
+
     def _fail(self, reason: str) -> None:
         if self._failure_reason is None:
             self._failure_reason = reason
@@ -412,6 +476,12 @@
             self._transport.abort()
 
 
+def _parser_error_reason(exc: Exception) -> str:
+    """Return what is invalid: the error of a callback, or that of the parser."""
+    cause = exc.__context__
+    return str(cause) if isinstance(cause, ValueError) else type(exc).__name__
+
+
 async def connect(
     address: str,
     timeout_s: float,
