Allocation of scarce capacity where the settings' contracts list pressure

Waiting room for engines, thinned-out calls for plain services, shares of customers, retry times in order. Without the contract calls are handled as before.

--- a/cranberrysail/router/admission.py
+++ b/cranberrysail/router/admission.py
@@ -29,6 +29,10 @@
       TOO_LATE: The deadline passed before the call was executed.
       CONTENT: Endpoints crash on something that the call carries.
       STOPPING: The router stops before the call would be sure to end.
+      PRESSED: The endpoints of a plain service have long queues.
+      OVER_SHARE: They have, and the call's customer has used more than its share.
+      LONG_WAIT: The call would wait in the router for longer than it may, or more
+        entitled calls need its place.
     """
 
     NO_TABLES = "no_tables"
@@ -40,6 +44,9 @@
     TOO_LATE = "too_late"
     CONTENT = "content"
     STOPPING = "stopping"
+    PRESSED = "pressed"
+    OVER_SHARE = "over_share"
+    LONG_WAIT = "long_wait"
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,12 +60,24 @@
         delay may be shorter, since the two limits below take precedence.
       max_retry_s: Maximum retry delay.
       max_retry_share: Maximum retry delay as a fraction of the caller's remaining time.
+      allocates: True if scarce capacity is allocated by urgency, deadline and fair
+        shares; otherwise calls are sent at once or refused.
+      max_waiting: Maximum number of calls that wait in the router. A host with a
+        hundredth of the callers of a large site has a few at a time.
+      max_waiting_bytes: Maximum size of their requests.
+      urgent_wait_share: Fraction of its target latency for which a call of priority 0
+        waits in the router. Engines order their own queues by priority, so that it is
+        served sooner there than in the router of which others do not know.
     """
 
     max_wait_share: float = 0.5
     min_retry_s: float = 0.2
     max_retry_s: float = 1.5
     max_retry_share: float = 0.33
+    allocates: bool = False
+    max_waiting: int = 64
+    max_waiting_bytes: int = 4 * 1024 * 1024
+    urgent_wait_share: float = 0.3
 
 
 def expected_wait_s(load: float, slots: int, service_time_s: float) -> float:
--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -43,6 +43,8 @@
       events_before_attempt: Complete events of the stream before the last attempt.
       endpoint_error: Last error response of an endpoint, which is sent to the caller
         if no other attempt succeeds.
+      calls_per_slot_sent: Open calls relative to the slots of the service when the call
+        was sent, as far as known.
     """
 
     request: HttpRequest
@@ -63,6 +65,7 @@
     attempt_sent_s: float = 0.0
     events_before_attempt: int = 0
     endpoint_error: tuple[int, Headers, bytes] | None = None
+    calls_per_slot_sent: float = 0.0
     _content_ids: tuple[str, ...] | None = None
 
     @property
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -1,12 +1,14 @@
-"""Handling of one call: the steps admit, place and send, and what ends it."""
+"""Handling of one call: the steps admit, order, place, send, and what ends it."""
 
 import asyncio
 from functools import partial
 
 from cranberrysail.router.admission import RefusalReason
+from cranberrysail.router.allocation import Turn
 from cranberrysail.router.attempt import AttemptRunner
 from cranberrysail.router.call import Call
 from cranberrysail.router.calllog import CallLog
+from cranberrysail.router.callorder import CallOrder
 from cranberrysail.router.callresponses import (
     DEFAULT_CALLER_TIMEOUT_S,
     CallResponder,
@@ -42,9 +44,14 @@
 class CallHandler:
     """Handles callers' requests; what it does for one of them is a call.
 
-    A request is admitted as a ``Call`` or denied. Each attempt of the call is placed,
+    A request is admitted as a ``Call`` or denied. The call gets its ``Turn`` in the
+    order of calls, at once while capacity is free. Each of its attempts is placed,
     which gives a ``Choice``, and sent, which gives an ``Attempt``, until a step ends
     the call with a response.
+
+    Attributes:
+      order: Order in which calls are sent where capacity is scarce.
+      attempt_runner: Sends calls to endpoints.
     """
 
     def __init__(
@@ -74,7 +81,10 @@
         self._header_codec = header_codec
         self._metrics = metrics
         self._call_log = CallLog(log, metrics)
-        self._responder = CallResponder(cfg.admission, header_codec, self._call_log)
+        self.order = CallOrder(cfg.admission, selector, log, metrics)
+        self._responder = CallResponder(
+            cfg.admission, header_codec, self._call_log, self.order.retry_after_s
+        )
         self._started_s = now()
         self._stop_at_s = float("inf")
         self._accepts_long_calls = True
@@ -88,6 +98,7 @@
     def configure(self, cfg: RouterConfig) -> None:
         """Apply changed settings."""
         self._responder.bound = cfg.admission
+        self.order.configure(cfg.admission)
         self._budget.bound = cfg.repeats
 
     def error_response(self, status: int, error_code: str) -> tuple[Headers, bytes]:
@@ -106,8 +117,12 @@
             timeout.reschedule(min(timeout.when(), loop_time_s))
 
     def refuse_long_calls(self) -> None:
-        """Refuse calls from now on whose timeouts do not end before the stop."""
+        """Refuse calls from now on whose timeouts do not end before the stop.
+
+        This includes those that wait for their turn.
+        """
         self._accepts_long_calls = False
+        self.order.refuse_long_calls(self._stop_at_s)
 
     async def serve(self, request: HttpRequest, conn: HttpServerConn) -> None:
         """Handle one request and send its response.
@@ -139,12 +154,16 @@
             raise
 
     async def _run(self, call: Call) -> None:
+        turn = await self._order(call)
+        if turn.refusal is not None:
+            self._responder.refuse(call, turn.refusal, turn.wait_s)
+            return
         while True:
             choice = self._place(call)
             if choice is None:
                 return
             attempt = await self._send(call, choice)
-            if not self._goes_on(call, choice.endpoint, attempt):
+            if not await self._goes_on(call, choice.endpoint, attempt):
                 return
             if not self._content_guard.is_known_good(call):
                 # Its content may be what the endpoint has crashed on.
@@ -211,6 +230,14 @@
             request.arrived_s + timeout_s,
         )
 
+    async def _order(self, call: Call) -> Turn:
+        """Wait until the call is sent; return why if it is not.
+
+        A call with content that is held back is not held here, as it is bound to be
+        refused, or is sent singly.
+        """
+        return await self.order.turn(call, not self._content_guard.is_held_back(call))
+
     def _place(self, call: Call) -> Choice | None:
         """Return the endpoint for the next attempt; without one, end the call."""
         refusal = self._content_guard.check(call)
@@ -236,9 +263,10 @@
             self._budget.record_first_send(call.service, now())
         attempt = await self.attempt_runner.run(call, choice)
         self._metrics.count("attempts", attempt.result.value)
+        self.order.attempt_ended(call, attempt)
         return attempt
 
-    def _goes_on(self, call: Call, endpoint: Endpoint, attempt: Attempt) -> bool:
+    async def _goes_on(self, call: Call, endpoint: Endpoint, attempt: Attempt) -> bool:
         """Record how an attempt ended; return whether another one follows.
 
         If not, the final response is sent.
@@ -258,6 +286,12 @@
             can_continue=call.can_continue,
         )
         step = decide(within_budget=True)
+        pause_s: float | None = 0.0
+        if step is NextStep.SEND_AGAIN and attempt.result is AttemptResult.NOT_RUN:
+            pause_s = self.order.pause_s(call)
+            if pause_s is None:
+                # Another attempt would be in vain: the step without one.
+                step = decide(within_budget=False)
         # Retries are charged to the retry budget once an attempt of the call has been
         # sent to an endpoint; before that, no attempt has caused any load.
         exempt = step is not NextStep.SEND_AGAIN or not call.attempts_sent
@@ -269,6 +303,8 @@
         self._call_log.attempt_ended(call, endpoint, attempt, within_budget, step)
         if step is NextStep.SEND_AGAIN:
             call.event_splitter.discard_tail()
+            if pause_s:
+                await asyncio.sleep(pause_s)
             return True
         self._responder.finish(call, step)
         return False
--- a/cranberrysail/router/callresponses.py
+++ b/cranberrysail/router/callresponses.py
@@ -1,6 +1,7 @@
 """Responses that the router itself gives: refusals, denials and other errors."""
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -30,6 +31,16 @@
 # Retry delay after the deadline passed before the call was executed. It is not computed
 # as usual, since no time remains of which it could be a share.
 TOO_LATE_RETRY_AFTER_S = 0.1
+# Refusals for lack of capacity, after which callers come back in order.
+SCARCE_CAPACITY = frozenset(
+    (
+        RefusalReason.FULL,
+        RefusalReason.ENDPOINT_REFUSED,
+        RefusalReason.PRESSED,
+        RefusalReason.OVER_SHARE,
+        RefusalReason.LONG_WAIT,
+    )
+)
 
 
 def error_response(status: int, error_code: str) -> tuple[Headers, bytes]:
@@ -51,7 +62,11 @@
     """
 
     def __init__(
-        self, bound: AdmissionBound, header_codec: BaseHeaderCodec, call_log: CallLog
+        self,
+        bound: AdmissionBound,
+        header_codec: BaseHeaderCodec,
+        call_log: CallLog,
+        scheduled_retry_s: Callable[[Call, float], float | None],
     ) -> None:
         """Create a responder.
 
@@ -59,8 +74,11 @@
           bound: Limits on the retry delay.
           header_codec: Translates to and from the platform's HTTP headers.
           call_log: Log and metrics of calls.
+          scheduled_retry_s: Returns the retry delay of a call that is refused for lack
+            of capacity, by the expected wait; None if none is scheduled.
         """
         self.bound = bound
+        self._scheduled_retry_s = scheduled_retry_s
         self._header_codec = header_codec
         self._call_log = call_log
 
@@ -115,7 +133,11 @@
     def _refuse_without_log(
         self, call: Call, reason: RefusalReason, wait_s: float
     ) -> None:
-        retry_after_s = self._retry_after_s(wait_s, call.remaining_s)
+        retry_after_s = None
+        if reason in SCARCE_CAPACITY:
+            retry_after_s = self._scheduled_retry_s(call, wait_s)
+        if retry_after_s is None:
+            retry_after_s = self._retry_after_s(wait_s, call.remaining_s)
         self._send_error(call.caller_conn, call.head, 503, reason.value, retry_after_s)
 
     def refuse_content(self, call: Call, refusal: ContentRefusal) -> None:
--- a/cranberrysail/router/contentguard.py
+++ b/cranberrysail/router/contentguard.py
@@ -6,7 +6,7 @@
 from cranberrysail.router.clock import now
 from cranberrysail.router.crashdetector import Crash
 from cranberrysail.router.peers import RouterDirectory
-from cranberrysail.router.quarantine import ContentRefusal, Quarantine
+from cranberrysail.router.quarantine import ContentRefusal, ContentStage, Quarantine
 from cranberrysail.router.quarantineexchange import QuarantineExchange
 from cranberrysail.router.quarantinegossip import incarnation_hash
 
@@ -48,6 +48,11 @@
         """Return whether other calls with the same content were answered lately."""
         return self.quarantine.is_known_good(call.content_ids, now())
 
+    def is_held_back(self, call: Call) -> bool:
+        """Return whether content of a call is suspected or quarantined."""
+        stages = map(self.quarantine.stage, call.content_ids)
+        return any(stage is not ContentStage.OBSERVED for stage in stages)
+
     def check(self, call: Call) -> ContentRefusal | None:
         """Return why a call must not be sent, None if it may be."""
         return self.quarantine.check(
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -181,6 +181,7 @@
         gauges = {
             "callers": len(self.listener.conns),
             "calls_open": self.listener.busy_connections,
+            "calls_waiting": len(self.call_handler.order.allocation.room),
             "endpoints": len(self.endpoints),
             "routers": len(self.routers),
             "tables_version": self.routing_state.tables.version if self.ready else 0,
@@ -214,6 +215,7 @@
                 f.topic.value: {"failing": f.failing, "age_s": now() - f.last_read_s}
                 for f in self.follower.topic_followers
             },
+            "allocation": self.call_handler.order.state(),
             "quarantine": [
                 {
                     "content": record.content_id,
