--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cranberrysail.errors import ConfigError
+from cranberrysail.router.admission import AdmissionBound
 from cranberrysail.router.coldlimit import ColdBound
 from cranberrysail.router.config import BaseSettingsSource, RouterConfig
 from cranberrysail.router.retrybudget import RetryBound
@@ -23,6 +24,8 @@
 # Minimum bandwidth of the link, in Mbit/s, for a router to relay the store's records to
 # all others of its zone. With a slower link it relays to few, if no faster one can.
 MIN_RELAY_MBPS = 20.0
+# Contract by which scarce capacity is allocated by urgency, deadline and fair shares.
+PRESSURE_CONTRACT = "pressure"
 
 
 class _ListenAddresses(msgspec.Struct):
@@ -77,6 +80,7 @@
 
     Attributes:
       platform: The platform's metadata store.
+      contracts: Names of the contracts that apply to the deployment.
     """
 
     node_name: str
@@ -134,6 +138,7 @@
             bounds.retry_budget_ratio, bounds.budget_slack, bounds.budget_window_s
         ),
         rollout=rollout,
+        admission=AdmissionBound(allocates=PRESSURE_CONTRACT in node.contracts),
     )
 
 
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -253,6 +253,7 @@
             "memory_budget_bytes": self.resources.account.budget,
             "connections_accepted": len(self.resources.connections),
             "connections_allowed": self.resources.connections.max_connections,
+            "calls_waiting": len(self.call_handler.order.allocation.room),
             "endpoints": len(self.endpoints),
             "routers": len(self.routers),
             "tables_version": self.routing_state.tables.version if self.ready else 0,
@@ -288,6 +289,7 @@
                 f.topic.value: {"failing": f.failing, "age_s": now() - f.last_read_s}
                 for f in self.follower.topic_followers
             },
+            "allocation": self.call_handler.order.state(),
             "quarantine": [
                 {
                     "content": record.content_id,
