Placement by work: spill where the first event would be late at home

A choice counted calls, so a prompt of 12,000 tokens weighed as much as one of 800, and a short urgent call queued behind long prompts. The time to the first event is now forecast from the reported calls without a first event, the tokens of this router's calls, the speed fitted to observed first events and the reported pace, averaged with the mean by the age of the report. A call goes to the first endpoint in rank, within the spill load, that is expected to be in time. On with the contract 'pressure' or reports with a pace; otherwise choices are as before.

--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -1,7 +1,5 @@
 """Translation of the platform's HTTP headers to and from the router's types."""
 
-import re
-
 from cranberrysail.router.headercodec import (
     BaseHeaderCodec,
     CallHead,
@@ -9,6 +7,11 @@
     Headers,
     ResponseHead,
 )
+from cranberrysail.router.headervalues import (
+    parse_idle_timeout_s,
+    parse_number,
+    parse_pause_s,
+)
 from cranberrysail.router.hopbyhop import end_to_end_headers
 from cranberrysail.router.load import LoadReport
 
@@ -46,13 +49,6 @@
 STATUS_UNAVAILABLE = 503
 # Status sent by an endpoint that is not the expected instance.
 STATUS_MISDIRECTED = 421
-# Longer numbers are implausible and treated as invalid.
-MAX_DIGITS = 12
-# Seconds, also with a fraction. RFC 9110 allows whole seconds, and dates, which the
-# platform does not send.
-PAUSE_SECONDS = re.compile(rb"\d{1,9}(\.\d+)?")
-# Longer pauses are cut to this.
-MAX_PAUSE_S = 3600.0
 # Urgency ranges from 0 to this value.
 LEAST_URGENT = 9
 
@@ -84,12 +80,16 @@
     def call_head(self, headers: Headers) -> CallHead:
         """Parse the headers of a caller's request."""
         by_name = dict(headers)
-        deadline_ms = _parse_number(by_name.get(DEADLINE_MS, b""))
+        deadline_ms = parse_number(by_name.get(DEADLINE_MS, b""))
+        parts = _parse_prompt_parts(by_name.get(PROMPT_PREFIX, b""))
         return CallHead(
             request_id=by_name.get(ATTEMPT_ID, b"").strip().decode("latin-1"),
             api_key=by_name.get(CREDENTIAL, b"").strip().decode("latin-1"),
             timeout_s=None if deadline_ms is None else deadline_ms / 1000,
-            prompt_parts=_parse_prompt_parts(by_name.get(PROMPT_PREFIX, b"")),
+            prompt_parts=tuple(part for part, _ in parts),
+            part_tokens=tuple(tokens for _, tokens in parts),
+            prompt_tokens=parse_number(by_name.get(TOKEN_USAGE, b"").split(b",")[0])
+            or 0,
         )
 
     def endpoint_headers(self, headers: Headers, info: EndpointRequestInfo) -> Headers:
@@ -122,10 +122,12 @@
             not_run=NOT_EXECUTED in by_name,
             displaced=status == STATUS_MISDIRECTED,
             report=_parse_load_report(by_name.get(SERVER_LOAD, b"")),
-            idle_timeout_s=_parse_idle_timeout_s(by_name.get(b"keep-alive", b"")),
+            idle_timeout_s=parse_idle_timeout_s(by_name.get(b"keep-alive", b"")),
             closing=closing,
             leaving=by_name.get(SERVER_LEAVING, b"").strip() == b"1",
-            pause_s=_parse_pause_s(headers) if status == STATUS_UNAVAILABLE else 0.0,
+            pause_s=parse_pause_s(v for n, v in headers if n == RETRY_AFTER)
+            if status == STATUS_UNAVAILABLE
+            else 0.0,
         )
 
     def error_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
@@ -138,32 +140,18 @@
         return headers
 
 
-def _parse_pause_s(headers: Headers) -> float:
-    """Return the longest pause that Retry-After headers ask for.
-
-    Values that are no seconds, such as dates and negative numbers, are passed over (RFC
-    9110, section 10.2.3); of several, which the RFC does not allow, the longest counts.
-    """
-    values = [value.strip() for name, value in headers if name == RETRY_AFTER]
-    seconds = [float(value) for value in values if PAUSE_SECONDS.fullmatch(value)]
-    return min(max(seconds, default=0.0), MAX_PAUSE_S)
-
-
-def _parse_number(value: bytes) -> int | None:
-    """Parse a decimal number; return None if it is invalid or too long."""
-    value = value.strip()
-    return int(value) if value.isdigit() and len(value) <= MAX_DIGITS else None
-
-
-def _parse_prompt_parts(value: bytes) -> tuple[str, ...]:
-    """Return the ids in a list of ``id:tokens`` entries."""
-    entries = value.decode("latin-1").split(",") if value else []
-    return tuple(entry.partition(":")[0].strip() for entry in entries)
+def _parse_prompt_parts(value: bytes) -> list[tuple[str, int]]:
+    """Return the ids and tokens in a list of ``id:tokens`` entries, 0 if invalid."""
+    entries = [e.partition(b":") for e in value.split(b",")] if value else []
+    return [
+        (part.decode("latin-1").strip(), parse_number(tokens) or 0)
+        for part, _, tokens in entries
+    ]
 
 
 def _parse_load_report(value: bytes) -> LoadReport | None:
     """Parse a load report; return None if it is missing or invalid."""
-    numbers = [_parse_number(item) for item in value.split(b",", MAX_LOAD_FIGURES)]
+    numbers = [parse_number(item) for item in value.split(b",", MAX_LOAD_FIGURES)]
     if len(numbers) < MIN_LOAD_FIGURES or None in numbers[:MIN_LOAD_FIGURES]:
         return None
     running, waiting, slots = numbers[:MIN_LOAD_FIGURES]
@@ -171,12 +159,3 @@
         return None
     pace_percent = numbers[MIN_LOAD_FIGURES] if len(numbers) > MIN_LOAD_FIGURES else 0
     return LoadReport(running, waiting, slots, pace_percent or None)
-
-
-def _parse_idle_timeout_s(value: bytes) -> float:
-    """Return the time-out of a Keep-Alive header, or 0 if it has none."""
-    for item in value.split(b","):
-        name, _, number = item.strip().partition(b"=")
-        if name.lower() == b"timeout":
-            return float(_parse_number(number) or 0)
-    return 0.0
--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -9,6 +9,7 @@
 from cranberrysail.errors import ConfigError
 from cranberrysail.router.coldlimit import ColdBound
 from cranberrysail.router.config import BaseSettingsSource, RouterConfig
+from cranberrysail.router.placement import PlacementBound
 from cranberrysail.router.retrybudget import RetryBound
 
 __all__ = ["ADMIN_PORT", "SETTINGS_VARIABLE", "NodeFileSettings", "parse"]
@@ -20,6 +21,8 @@
 # Minimum bandwidth of the link, in Mbit/s, for a router to relay the store's records to
 # all others of its zone. With a slower link it relays to few, if no faster one can.
 MIN_RELAY_MBPS = 20.0
+# Contract under which calls are placed by their work.
+PRESSURE_CONTRACT = "pressure"
 
 
 class _ListenAddresses(msgspec.Struct):
@@ -60,6 +63,7 @@
 
     Attributes:
       platform: The platform's metadata store.
+      contracts: Names of the duties that the platform adds for this deployment.
     """
 
     node_name: str
@@ -71,6 +75,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_interval_ms: float = 1200.0
+    contracts: list[str] = []
 
 
 def parse(text: str, source: str) -> RouterConfig:
@@ -106,6 +111,7 @@
         repeats=RetryBound(
             bounds.retry_budget_ratio, bounds.budget_slack, bounds.budget_window_s
         ),
+        placement=PlacementBound(weighs_work=PRESSURE_CONTRACT in node.contracts),
     )
 
 
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -110,11 +110,12 @@
                 return Attempt(
                     AttemptResult.NOT_SENT, "the endpoint asked for no more requests"
                 )
-            stats.pending[pending_id] = now()
+            stats.begin_attempt(pending_id, choice.forecast, now())
+            self._selector.record_work(call.service, choice.forecast)
             return await self._run_on_connection(call, choice, conn, pending_id)
         finally:
             endpoint.open_calls -= 1
-            stats.pending.pop(pending_id, None)
+            stats.end_attempt(pending_id)
 
     async def _acquire_connection(
         self, endpoint: Endpoint, max_connections: int
@@ -365,13 +366,15 @@
         elapsed_s = now() - sent_s
         stats = self._selector.loads.stats(endpoint)
         stats.last_byte_s = now()
-        stats.pending.pop(pending_id, None)
+        forecast = stats.end_attempt(pending_id)
         failed = status >= 500
         stats.record_response(self._latency_ratio(call, elapsed_s), failed, now())
         if failed:
             return
         if call.route.kind is not CallKind.STREAM:
             self._content_guard.on_answer(call)
+        if call.route.kind is CallKind.STREAM and forecast is not None:
+            self._selector.record_first_event(call.service, stats, forecast, elapsed_s)
         self._selector.latency.add_sample(call.route.name, elapsed_s)
         if call.route.kind is not CallKind.STREAM:
             self._selector.record_service_time(call.service, elapsed_s)
--- a/cranberrysail/router/call.py
+++ b/cranberrysail/router/call.py
@@ -8,6 +8,8 @@
 from cranberrysail.router.headercodec import CallHead, Headers
 from cranberrysail.router.httplistener import HttpRequest, HttpServerConn
 from cranberrysail.router.model import CallKind, Customer, Route, RouteTables, Service
+from cranberrysail.router.placement import shared_prefix_length
+from cranberrysail.router.prefillbacklog import CallWork
 from cranberrysail.router.sse import EventSplitter
 
 __all__ = ["Call"]
@@ -101,6 +103,18 @@
         is_stream = self.route.kind is CallKind.STREAM
         return is_stream and bool(events.last_id or not events.event_count)
 
+    @property
+    def work(self) -> CallWork:
+        """Return the work of the call, and the time until its first event is due."""
+        head = self.head
+        shared = sum(head.part_tokens[: shared_prefix_length(head.prompt_parts)])
+        waited_s = now() - self.request.arrived_s
+        return CallWork(
+            max(head.prompt_tokens, sum(head.part_tokens)),
+            shared,
+            self.route.target_latency_s - waited_s,
+        )
+
     @property
     def service_config(self) -> Service:
         """Return the configuration of the call's service."""
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -282,6 +282,7 @@
                 call.tried,
                 call.remaining_s,
                 now(),
+                call.work,
             )
             if choice.endpoint is None:
                 self._on_no_endpoint(call, choice)
@@ -316,6 +317,7 @@
             cache_from=choice.cache_source.id if choice.cache_source else None,
             cold=endpoint.is_cold(now()),
             declared_age_s=round(now() - endpoint.declared_s, 2),
+            **choice.work_fields(),
             tables=call.tables.version,
             attempt=len(call.tried) + 1,
         )
--- a/cranberrysail/router/headercodec.py
+++ b/cranberrysail/router/headercodec.py
@@ -30,12 +30,16 @@
       api_key: The caller's API key; empty if missing.
       timeout_s: Seconds that the caller waits for a response; None if not given.
       prompt_parts: Ids of the parts of the prompt, in order.
+      part_tokens: Tokens of each part; 0 if not given.
+      prompt_tokens: Tokens of the whole prompt; 0 if not given.
     """
 
     request_id: str
     api_key: str
     timeout_s: float | None
     prompt_parts: tuple[str, ...] = ()
+    part_tokens: tuple[int, ...] = ()
+    prompt_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -13,6 +13,12 @@
 from dataclasses import dataclass, field
 
 from cranberrysail.router.endpoints import Endpoint
+from cranberrysail.router.prefillbacklog import (
+    FirstEventForecast,
+    PaceEstimate,
+    PrefillModel,
+    parse_pace,
+)
 
 __all__ = [
     "REPORT_MAX_AGE_S",
@@ -48,6 +54,8 @@
 INTERVAL_TOLERANCE = 1.5
 # Time without any byte after which an endpoint with pending calls is unresponsive.
 UNRESPONSIVE_S = 0.7
+# Lower limit of the time to prefill a token; real engines take 7 us and more.
+MIN_SECONDS_PER_TOKEN = 1e-7
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +75,11 @@
     slots: int
     pace_percent: int | None = None
 
+    @property
+    def pace(self) -> float:
+        """Return the pace as a multiple of the usual time; 0 if there is none."""
+        return parse_pace(self.pace_percent)
+
 
 @dataclass(frozen=True, slots=True)
 class LoadEstimate:
@@ -100,6 +113,10 @@
       last_byte_s: Time at which the last byte arrived from the endpoint.
       pending: Start times of this router's attempts whose latency has not been recorded
         yet, by the number of the attempt.
+      prefilling: Forecasts of those of them that have no first event yet.
+      reported_waiting: Calls without a first event in the last report.
+      other_waiting: Calls of other routers without a first event, in the last report.
+      pace: Reported pace, as a multiple of the usual time; 0 if there is none.
     """
 
     reported_calls: int = 0
@@ -113,6 +130,44 @@
     health_updated_s: float = 0.0
     last_byte_s: float = float("-inf")
     pending: dict[int, float] = field(default_factory=dict)
+    prefilling: dict[int, FirstEventForecast] = field(default_factory=dict)
+    reported_waiting: int = 0
+    other_waiting: float = 0.0
+    pace: float = 0.0
+
+    def begin_attempt(
+        self, number: int, forecast: FirstEventForecast | None, now: float
+    ) -> None:
+        """Record that an attempt is sent to the endpoint.
+
+        Args:
+          number: Number of the attempt.
+          forecast: When its first event is expected, if known.
+          now: Current time in seconds.
+        """
+        self.pending[number] = now
+        if forecast is not None:
+            self.prefilling[number] = forecast
+
+    def end_attempt(self, number: int) -> FirstEventForecast | None:
+        """Record that an attempt got its first data or ended; return its forecast."""
+        self.pending.pop(number, None)
+        return self.prefilling.pop(number, None)
+
+    def backlog_tokens(self, model: PrefillModel, pace: float, now: float) -> float:
+        """Return the prompt tokens expected to be ahead of a call.
+
+        Args:
+          model: Speed of the service's endpoints, and the mean work of a call.
+          pace: Time that work takes at the endpoint, as a multiple of the usual time.
+          now: Current time in seconds.
+        """
+        own = sum(forecast.call_tokens for forecast in self.prefilling.values())
+        others = self.other_waiting * model.mean_call_tokens
+        if others:
+            seconds = max(0.0, now - self.reported_s) / pace
+            others -= seconds / max(model.seconds_per_token, MIN_SECONDS_PER_TOKEN)
+        return own + max(0.0, others)
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether calls are pending and nothing has arrived for too long."""
@@ -192,11 +247,16 @@
 
 @dataclass
 class LoadTracker:
-    """Load and health of all endpoints."""
+    """Load and health of all endpoints.
+
+    Attributes:
+      paces: Mean pace of the endpoints that report one.
+    """
 
     _stats: dict[tuple[str, int], EndpointStats] = field(default_factory=dict)
     # Endpoints by incarnation, in the order in which their last reports arrived.
     _by_arrival: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
+    paces: PaceEstimate = field(default_factory=PaceEstimate)
 
     def stats(self, endpoint: Endpoint) -> EndpointStats:
         """Return the load and health of an endpoint, creating them if needed."""
@@ -214,6 +274,9 @@
         stats.reported_calls = max(0, load - 1)
         stats.other_calls = max(0, load - endpoint.open_calls)
         stats.reported_s = now
+        # The call that brought the report has its first event.
+        own_waiting = max(0, len(stats.prefilling) - 1)
+        self._record_work(stats, report.waiting, own_waiting, report.pace)
         self._mark_received(endpoint, stats, now)
 
     def _mark_received(
@@ -231,7 +294,13 @@
             yield endpoint
 
     def record_load(
-        self, endpoint: Endpoint, load: int, at_s: float, now: float
+        self,
+        endpoint: Endpoint,
+        load: int,
+        at_s: float,
+        now: float,
+        waiting: int = 0,
+        pace: float = 0.0,
     ) -> None:
         """Record a load that another router reports, unless a newer one is known.
 
@@ -242,6 +311,8 @@
           load: Its open calls, from all routers, as in ``reported_calls``.
           at_s: Time of the report.
           now: Current time in seconds.
+          waiting: Those of the calls that have no first event.
+          pace: Reported pace, as a multiple of the usual time; 0 if there is none.
         """
         stats = self.stats(endpoint)
         if at_s <= stats.reported_s + SAME_REPORT_S:
@@ -249,8 +320,28 @@
         stats.reported_calls = load
         stats.other_calls = max(0, load - endpoint.open_calls)
         stats.reported_s = at_s
+        self._record_work(stats, waiting, len(stats.prefilling), pace)
         self._mark_received(endpoint, stats, now)
 
+    def _record_work(
+        self, stats: EndpointStats, waiting: int, own_waiting: int, pace: float
+    ) -> None:
+        stats.reported_waiting = waiting
+        stats.other_waiting = max(0, waiting - own_waiting)
+        stats.pace = pace
+        if pace:
+            self.paces.add_sample(pace)
+
+    def pace(self, endpoint: Endpoint, now: float) -> float:
+        """Return the expected pace of an endpoint, as a multiple of the usual time.
+
+        It is 1 for endpoints that report no pace.
+        """
+        stats = self.stats(endpoint)
+        if not stats.pace:
+            return 1.0
+        return self.paces.expected(stats.pace, now - stats.reported_s)
+
     def estimate(
         self, endpoint: Endpoint, typical: float, now: float, residual_s: float
     ) -> LoadEstimate:
--- a/cranberrysail/router/loadgossip.py
+++ b/cranberrysail/router/loadgossip.py
@@ -14,6 +14,7 @@
 from cranberrysail.router.decoding import MessageDecoder
 from cranberrysail.router.endpoints import Endpoint, EndpointDirectory
 from cranberrysail.router.load import LoadTracker
+from cranberrysail.router.prefillbacklog import parse_pace
 
 __all__ = ["LOADS_PATH", "MAX_SENT_AGE_S", "LoadGossip", "LoadGossipItem"]
 
@@ -37,11 +38,16 @@
       load: Open calls at the endpoint, from all routers, without the call that brought
         the report.
       age: Age of the report, in units of 10 ms.
+      waiting: Those of the calls that have no first event.
+      pace: Reported pace in percent of the usual time; 0 if there is none.
     """
 
     endpoint: int
     load: int
     age: int
+    # Routers of the release before neither send nor read these.
+    waiting: int = 0
+    pace: int = 0
 
 
 def _hash(endpoint: Endpoint) -> int:
@@ -92,7 +98,11 @@
                 continue
             items.append(
                 LoadGossipItem(
-                    _hash(endpoint), stats.reported_calls, round(age_s / AGE_UNIT_S)
+                    _hash(endpoint),
+                    stats.reported_calls,
+                    round(age_s / AGE_UNIT_S),
+                    stats.reported_waiting,
+                    round(stats.pace * 100),
                 )
             )
         return tuple(items)
@@ -104,7 +114,14 @@
             if endpoint is None:
                 continue
             at_s = now - max(0, item.age) * AGE_UNIT_S
-            self._loads.record_load(endpoint, max(0, item.load), at_s, now)
+            self._loads.record_load(
+                endpoint,
+                max(0, item.load),
+                at_s,
+                now,
+                max(0, item.waiting),
+                parse_pace(max(0, item.pace)),
+            )
 
     def _find(self, hash_value: int, now: float) -> Endpoint | None:
         endpoint = self._by_hash.get(hash_value)
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -7,6 +7,10 @@
 home exceeds a multiple of the mean, calls spill to the next endpoint in rank, which
 fetches the cache from the home; that costs a sixth of prefilling the prefix again. If
 the load of all endpoints is too high, the least loaded one gets the call.
+
+If work is weighed, calls also spill whose first event would be late at the home and in
+time at one of the next in rank. Load that comes as a few long prompts delays calls that
+have no more calls beside them than usual.
 """
 
 from collections.abc import Callable
@@ -14,6 +18,7 @@
 
 from cranberrysail.router.endpoints import Endpoint
 from cranberrysail.router.load import LoadEstimate
+from cranberrysail.router.prefillbacklog import FirstEventForecast
 from cranberrysail.router.rendezvous import score
 
 __all__ = [
@@ -22,11 +27,13 @@
     "PlacementBound",
     "choose_cache_source",
     "shared_prefix_id",
+    "shared_prefix_length",
     "choose_endpoint",
 ]
 
 # Returns samples of the standard normal distribution.
 NormalSampler = Callable[[], float]
+Forecaster = Callable[[Endpoint, float, bool], FirstEventForecast]
 # If the highest-ranked endpoint within the spill load has no free slot, a call queues
 # at the least loaded of this many in rank. A slot becomes free soon, whereas prefilling
 # the prompt at yet another endpoint would lengthen all queues.
@@ -51,6 +58,14 @@
         ``large_fleet_slack`` apply in full.
       cross_zone_calls: Penalty, in calls, for an endpoint in another zone when a
         call without a prompt is placed.
+      weighs_work: True if the expected time to the first event decides, too. Endpoints
+        that report a pace turn this on as well.
+      due_share: Fraction of the time until a first event is due within which it must be
+        expected at an endpoint; the rest is for what the forecast does not know.
+      due_candidates: Number of endpoints in rank, within the spill load, of which the
+        first one in time is chosen.
+      late_gain: Fraction of the wait at its home below which the wait elsewhere must be
+        for a call to leave its home if it is late everywhere.
     """
 
     spill_factor: float = 1.7
@@ -60,6 +75,10 @@
     large_fleet_from: int = 10
     large_fleet_full: int = 50
     cross_zone_calls: float = 0.5
+    weighs_work: bool = False
+    due_share: float = 0.5
+    due_candidates: int = 3
+    late_gain: float = 0.5
 
     def spill_load(self, mean: float, routers: int) -> float:
         """Return the load above which calls spill to the next endpoint in rank.
@@ -92,12 +111,16 @@
         are few of many.
       deprioritized: True if it is used only when all candidates are deprioritized,
         for example after connection failures or while it is unresponsive.
+      forecaster: Returns when the first event of the call is expected, by endpoint, the
+        number of calls assumed there, and whether it is the home of the call's prompt;
+        None if work is not weighed.
     """
 
     endpoint: Endpoint
     slots: int
     estimator: Callable[[Endpoint], LoadEstimate]
     deprioritized: bool = False
+    forecaster: Forecaster | None = None
     _estimate: LoadEstimate | None = None
 
     @property
@@ -124,10 +147,15 @@
     Attributes:
       rank: Number of usable endpoints that rank higher for the call's prefix, 0 for the
         home endpoint; None for a call without a prompt.
+      forecast: When the first event is expected, if work is weighed.
+      left_late: True if the call spilled because its first event would have been late
+        at an endpoint that ranks higher.
     """
 
     candidate: Candidate
     rank: int | None = None
+    forecast: FirstEventForecast | None = None
+    left_late: bool = False
 
 
 def shared_prefix_id(parts: tuple[str, ...]) -> str:
@@ -139,9 +167,12 @@
     Args:
       parts: Ids of the prompt's parts in order.
     """
-    if not parts:
-        return ""
-    return parts[-2] if len(parts) > 1 else parts[0]
+    return parts[shared_prefix_length(parts) - 1] if parts else ""
+
+
+def shared_prefix_length(parts: tuple[str, ...]) -> int:
+    """Return the number of parts of the longest prefix that other calls may share."""
+    return min(len(parts), max(1, len(parts) - 1))
 
 
 def choose_endpoint(
@@ -151,6 +182,7 @@
     bound: PlacementBound,
     spill_load: float,
     normal: NormalSampler,
+    due_s: float | None = None,
 ) -> Placement | None:
     """Return the endpoint for a call, or None if there is no candidate.
 
@@ -162,6 +194,8 @@
       spill_load: Load above which calls spill to the next endpoint in rank.
       normal: Samples the loads, so that routers with the same reports choose
         differently.
+      due_s: Time within which the first event must be expected at an endpoint; None if
+        work is not weighed.
     """
     if not candidates:
         return None
@@ -174,10 +208,13 @@
             # Endpoints of equal load are chosen at random.
             return candidate.sample_load(normal) + penalty, normal()
 
-        return Placement(min(available, key=sort_key))
+        chosen = min(available, key=sort_key)
+        return Placement(chosen, forecast=_forecast(chosen, chosen.load, False))
     ranked = sorted(
         available, key=lambda c: score(prefix_id, c.endpoint.id), reverse=True
     )
+    if due_s is not None:
+        return _choose_in_time(ranked, spill_load, due_s, bound, normal)
     chosen = _choose_ranked(ranked, spill_load, normal)
     return Placement(chosen, ranked.index(chosen))
 
@@ -199,6 +236,51 @@
     return min(options, key=lambda option: option[0])[1]
 
 
+def _choose_in_time(
+    ranked: list[Candidate],
+    spill_load: float,
+    due_s: float,
+    bound: PlacementBound,
+    normal: NormalSampler,
+) -> Placement:
+    """Return the first endpoint in rank where the first event is expected in time.
+
+    If there is none, the call stays at the first one within the spill load, as long as
+    the wait elsewhere is not much shorter: leaving costs a cache fetch.
+    """
+    options: list[Placement] = []
+    for rank, candidate in enumerate(ranked):
+        load = candidate.sample_load(normal)
+        if load > spill_load:
+            continue
+        forecast = _forecast(candidate, load, rank == 0)
+        placement = Placement(candidate, rank, forecast, bool(options))
+        if forecast.wait_s <= due_s:
+            return placement
+        options.append(placement)
+        if len(options) == bound.due_candidates:
+            break
+    if not options:
+        rank, candidate = min(
+            enumerate(ranked), key=lambda option: option[1].sample_load(normal)
+        )
+        return Placement(
+            candidate, rank, _forecast(candidate, candidate.load, rank == 0)
+        )
+    first = options[0]
+    best = min(options, key=lambda option: option.forecast.wait_s)
+    is_better = best.forecast.wait_s < first.forecast.wait_s * bound.late_gain
+    return best if is_better else first
+
+
+def _forecast(
+    candidate: Candidate, load: float, at_home: bool
+) -> FirstEventForecast | None:
+    if candidate.forecaster is None:
+        return None
+    return candidate.forecaster(candidate.endpoint, load, at_home)
+
+
 def choose_cache_source(
     endpoints: list[Endpoint], prefix_id: str, target: Endpoint
 ) -> Endpoint | None:
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint for a call from everything that this router knows."""
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -16,6 +17,11 @@
     choose_endpoint,
     shared_prefix_id,
 )
+from cranberrysail.router.prefillbacklog import (
+    CallWork,
+    FirstEventForecast,
+    PrefillModel,
+)
 
 __all__ = ["Choice", "MovingAverages", "Selector"]
 
@@ -49,6 +55,9 @@
       mean_load: Mean load of the service, as far as this router knows.
       spill_load: Load above which calls spill from their home endpoint.
       report_age_s: Age of the last load report from the endpoint; None without one.
+      forecast: When the first event is expected, if work is weighed.
+      left_late: True if the call spilled because its first event would have been late
+        at an endpoint that ranks higher.
     """
 
     endpoint: Endpoint | None
@@ -61,6 +70,20 @@
     mean_load: float = 0.0
     spill_load: float = 0.0
     report_age_s: float | None = None
+    forecast: FirstEventForecast | None = None
+    left_late: bool = False
+
+    def work_fields(self) -> dict[str, object]:
+        """Return the log fields that tell how the work of the call was weighed."""
+        if self.forecast is None:
+            return {}
+        return {
+            "expected_wait_ms": round(self.forecast.wait_s * 1000),
+            "backlog_tokens": round(self.forecast.backlog_tokens),
+            "call_tokens": round(self.forecast.call_tokens),
+            "pace": round(self.forecast.pace, 2),
+            "left_late": self.left_late,
+        }
 
 
 @dataclass
@@ -91,6 +114,7 @@
       latency: Mean time to the first data of a stream, or until another response was
         buffered, by route.
       event_interval: Mean time between the events of a stream, by service.
+      prefill: Time to the first event by prompt tokens, by service.
     """
 
     cfg: RouterConfig
@@ -103,6 +127,7 @@
     _squared_service_time: MovingAverages = field(default_factory=MovingAverages)
     latency: MovingAverages = field(default_factory=MovingAverages)
     event_interval: MovingAverages = field(default_factory=MovingAverages)
+    prefill: dict[str, PrefillModel] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.cold_limiter = ColdLimiter(self.cfg.cold)
@@ -145,6 +170,38 @@
         self.service_time.add_sample(service, seconds)
         self._squared_service_time.add_sample(service, seconds * seconds)
 
+    def record_first_event(
+        self,
+        service: str,
+        stats: EndpointStats,
+        forecast: FirstEventForecast,
+        seconds: float,
+    ) -> None:
+        """Record the delay of the first event of a stream.
+
+        Args:
+          service: Name of the endpoint's service.
+          stats: Load and health of the endpoint, with the report of this response.
+          forecast: When the event was expected.
+          seconds: Time from sending the request to the first data.
+        """
+        tokens = forecast.backlog_tokens + forecast.call_tokens
+        pace = stats.pace or 1.0
+        self._prefill_model(service).record_first_event(tokens, seconds / pace)
+
+    def record_work(self, service: str, forecast: FirstEventForecast | None) -> None:
+        """Record the work of a call that is sent, if it is known."""
+        if forecast is not None:
+            self._prefill_model(service).record_call(forecast.call_tokens)
+
+    def _prefill_model(self, service: str) -> PrefillModel:
+        return self.prefill.setdefault(service, PrefillModel())
+
+    @property
+    def weighs_work(self) -> bool:
+        """Return whether the work of calls and the pace of endpoints are weighed."""
+        return self.cfg.placement.weighs_work or self.loads.paces.known
+
     def residual_time_s(self, service: str) -> float:
         """Return the mean time for which a call that is found open stays open.
 
@@ -173,6 +230,7 @@
         tried: set[str],
         remaining_s: float,
         now: float,
+        work: CallWork | None = None,
     ) -> Choice:
         """Return the endpoint for a call.
 
@@ -183,6 +241,7 @@
           tried: Ids of the endpoints of earlier attempts.
           remaining_s: Seconds left until the call's deadline.
           now: Current time in seconds.
+          work: Prompt of the call, and when its first event is due; None if unknown.
         """
         service = tables.services.get(service_name, Service(service_name))
         usable = [e for e in self.endpoints.usable(service_name) if e.id not in tried]
@@ -205,6 +264,9 @@
             now,
             self.residual_time_s(service_name),
         )
+        due_s = None
+        if work is not None and self.weighs_work:
+            due_s = self._weigh_work(candidates, service, work, now)
         # Only services with a number of engine slots have a prompt cache.
         prefix_id = shared_prefix_id(parts) if service.engine_slots else ""
         bound = self.cfg.placement
@@ -217,6 +279,7 @@
             bound,
             spill_load,
             lambda: self.rng.gauss(0.0, 1.0),
+            due_s,
         )
         chosen = placement.candidate
         service_time_s = self.service_time.mean_s(service_name, ASSUMED_SERVICE_TIME_S)
@@ -236,8 +299,47 @@
             mean_load=mean_load,
             spill_load=spill_load,
             report_age_s=self.loads.stats(chosen.endpoint).report_age_s(now),
+            forecast=placement.forecast,
+            left_late=placement.left_late,
         )
 
+    def _weigh_work(
+        self, candidates: list[Candidate], service: Service, work: CallWork, now: float
+    ) -> float:
+        """Let candidates forecast first events; return the time to expect one within.
+
+        A call that is late already stays where its cache is.
+        """
+        model = self._prefill_model(service.name)
+        service_time_s = self.service_time.mean_s(service.name, ASSUMED_SERVICE_TIME_S)
+
+        def forecast_engine(
+            endpoint: Endpoint, load: float, at_home: bool
+        ) -> FirstEventForecast:
+            pace = self.loads.pace(endpoint, now)
+            stats = self.loads.stats(endpoint)
+            backlog = stats.backlog_tokens(model, pace, now)
+            tokens = model.mean_call_tokens
+            if work.prompt_tokens:
+                tokens = work.prefill_tokens(at_home)
+            slot_wait_s = expected_wait_s(load, endpoint.record.slots, service_time_s)
+            wait_s = model.seconds(backlog + tokens) + slot_wait_s
+            return FirstEventForecast(wait_s * pace, backlog, tokens, pace)
+
+        def forecast_plain(
+            endpoint: Endpoint, load: float, _at_home: bool
+        ) -> FirstEventForecast:
+            pace = self.loads.pace(endpoint, now)
+            slot_wait_s = expected_wait_s(load, endpoint.record.slots, service_time_s)
+            wait_s = (service_time_s + slot_wait_s) * pace
+            return FirstEventForecast(wait_s, 0.0, 0.0, pace)
+
+        forecaster = forecast_engine if service.engine_slots else forecast_plain
+        for candidate in candidates:
+            candidate.forecaster = forecaster
+        due_s = work.due_s * self.cfg.placement.due_share
+        return due_s if due_s > 0 else math.inf
+
     def _mean_load(self, endpoints: list[Endpoint], other_calls: list[float]) -> float:
         """Return the mean load over all endpoints of a service.
 
