--- a/cranberrysail/benchmark/__init__.py
+++ b/cranberrysail/benchmark/__init__.py
@@ -12,7 +12,7 @@
 )
 from cranberrysail.benchmark.config import SimulationConfig
 from cranberrysail.benchmark.policy import POLICIES, BasePolicy
-from cranberrysail.benchmark.report import results_table, write_plots
+from cranberrysail.benchmark.report import balance_table, results_table, write_plots
 from cranberrysail.benchmark.simulation import Simulation
 
 __all__ = [
@@ -21,6 +21,7 @@
     "BasePolicy",
     "Simulation",
     "SimulationConfig",
+    "balance_table",
     "generate_arrivals",
     "read_arrivals",
     "results_table",
--- a/cranberrysail/benchmark/arrivals.py
+++ b/cranberrysail/benchmark/arrivals.py
@@ -82,7 +82,8 @@
     (thinning).
     """
     max_factor = max(
-        [config.rate_factor(burst.from_s) for burst in config.bursts], default=1.0
+        [config.rate_factor(burst.from_s, profile.name) for burst in config.bursts],
+        default=1.0,
     )
     max_factor = max(max_factor, 1.0)
     at_s = 0.0
@@ -90,7 +91,7 @@
         at_s += rng.expovariate(profile.rate * rate_factor * max_factor / config.clump)
         if at_s >= config.play_s:
             return
-        if rng.random() * max_factor > config.rate_factor(at_s):
+        if rng.random() * max_factor > config.rate_factor(at_s, profile.name):
             continue
         yield _generate_arrival(config, profile, prefix_sizes, rng, at_s)
         # The number of calls that arrive together has a geometric distribution.
--- a/cranberrysail/benchmark/config.py
+++ b/cranberrysail/benchmark/config.py
@@ -8,6 +8,8 @@
     "EngineConfig",
     "EngineJoin",
     "HotPeriod",
+    "PaceChanges",
+    "PlainConfig",
     "SimulationConfig",
     "SlowPeriod",
 ]
@@ -60,6 +62,7 @@
       step_ms: Duration of a step without decoding calls and without prefill.
       step_ms_a_call: Additional duration of a step for each decoding call.
       read_tokens_a_ms: Prompt tokens processed per millisecond of prefill.
+      prompt_ms: Additional time to process a prompt of any length.
       chunk_tokens: Maximum number of prompt tokens processed in one step.
       event_tokens: Output tokens in one event of a response.
       fetch_share: Cost of fetching a cached token from another engine, as a fraction
@@ -74,6 +77,7 @@
     step_ms: float = Field(gt=0)
     step_ms_a_call: float = Field(ge=0)
     read_tokens_a_ms: float = Field(gt=0)
+    prompt_ms: float = Field(default=0.0, ge=0)
     chunk_tokens: int = Field(default=1024, ge=1)
     event_tokens: int = Field(ge=1)
     fetch_share: float = Field(default=0.025, ge=0, le=1)
@@ -90,12 +94,15 @@
     Attributes:
       from_s: Start of the period.
       to_s: End of the period, exclusive.
-      times: Factor on the rates of all calls.
+      times: Factor on the rates.
+      kind: Name of the call profile that it applies to, ``plain`` for calls to plain
+        endpoints; all if not set.
     """
 
     from_s: float = Field(ge=0)
     to_s: float = Field(gt=0)
     times: float = Field(gt=0)
+    kind: str | None = None
 
 
 class HotPeriod(_StrictModel):
@@ -129,6 +136,42 @@
     times: float = Field(gt=1)
 
 
+class PaceChanges(_StrictModel):
+    """Endpoints that share their hosts with others, which slow them for a time.
+
+    Attributes:
+      share: Fraction of the endpoints that are slow at a time.
+      times: Factor on the time of their work.
+      every_ms: Time after which other endpoints are slow.
+    """
+
+    share: float = Field(gt=0, lt=1)
+    times: float = Field(gt=1)
+    every_ms: float = Field(gt=0)
+
+
+class PlainConfig(_StrictModel):
+    """Plain endpoints and the calls to them.
+
+    Attributes:
+      count: Number of endpoints.
+      slots: Calls that one processes concurrently.
+      queue: Calls that wait at one; it rejects further ones.
+      work_ms: Time that a call takes.
+      rate: Mean arrival rate in calls per second, outside bursts.
+      aim_ms: Target for the time to the response.
+      left_s: Time from arrival to the caller's deadline.
+    """
+
+    count: int = Field(ge=1)
+    slots: int = Field(ge=1)
+    queue: int = Field(ge=0)
+    work_ms: float = Field(gt=0)
+    rate: float = Field(gt=0)
+    aim_ms: float = Field(gt=0)
+    left_s: float = Field(gt=0)
+
+
 class EngineJoin(_StrictModel):
     """Engines that start during the simulation, with an empty cache.
 
@@ -158,6 +201,8 @@
         factor applies.
       joins: Engines that start during the simulation, besides those of ``engines``.
       clump: Mean number of calls that arrive together. The rates stay the same.
+      paces: Changes of the pace of endpoints, if they report one.
+      plain: Plain endpoints besides the engines, if any.
     """
 
     routers: int = Field(ge=1)
@@ -169,6 +214,8 @@
     slow: tuple[SlowPeriod, ...] = ()
     joins: tuple[EngineJoin, ...] = ()
     clump: float = Field(default=1.0, ge=1)
+    paces: PaceChanges | None = None
+    plain: PlainConfig | None = None
 
     @model_validator(mode="after")
     def _check_unique_names(self) -> "SimulationConfig":
@@ -198,10 +245,11 @@
         factors = (s.times for s in self.slow if s.from_s <= at_s < s.to_s)
         return max(factors, default=1.0)
 
-    def rate_factor(self, at_s: float) -> float:
-        """Return the factor on all arrival rates at a time."""
+    def rate_factor(self, at_s: float, kind: str) -> float:
+        """Return the factor on the arrival rate of a kind of call at a time."""
         factor = 1.0
         for burst in self.bursts:
-            if burst.from_s <= at_s < burst.to_s:
+            applies = burst.kind is None or burst.kind == kind
+            if applies and burst.from_s <= at_s < burst.to_s:
                 factor *= burst.times
         return factor
--- a/cranberrysail/benchmark/engine.py
+++ b/cranberrysail/benchmark/engine.py
@@ -23,6 +23,7 @@
       first_token_s: Time of the first output token; 0 before it.
       last_token_s: Time of the latest output token; 0 before the first.
       max_gap_s: Longest time between successive output tokens.
+      sent_s: Time at which it was sent to the engine.
     """
 
     arrival: Arrival
@@ -34,6 +35,7 @@
     first_token_s: float = 0.0
     last_token_s: float = 0.0
     max_gap_s: float = 0.0
+    sent_s: float = 0.0
 
     @property
     def own_tokens(self) -> int:
--- a/cranberrysail/benchmark/policy.py
+++ b/cranberrysail/benchmark/policy.py
@@ -10,6 +10,7 @@
 from cranberrysail.router.admission import AdmissionBound, RefusalReason
 from cranberrysail.router.endpoints import Endpoint
 from cranberrysail.router.placement import PlacementBound, choose_cache_source
+from cranberrysail.router.prefillbacklog import CallWork
 from cranberrysail.router.rendezvous import score
 from cranberrysail.router.selector import Choice
 
@@ -40,6 +41,17 @@
     arrival: Arrival
     remaining_s: float
 
+    @property
+    def work(self) -> CallWork:
+        """Return the work of the call, and the time until its first token is due."""
+        arrival = self.arrival
+        waited_s = self.simulation.now - arrival.at_s
+        return CallWork(
+            arrival.shared + arrival.own,
+            arrival.shared,
+            self.profile.aim_ms / 1000 - waited_s,
+        )
+
     def ranked_endpoints(self) -> list[Endpoint]:
         """Return the engines by rendezvous rank for the shared prefix, highest first.
 
@@ -62,6 +74,7 @@
       gossips_load: True if the routers of a zone exchange load gossip.
       learns_speed: True if routers measure the response speed of engines.
       fetches_cache: True if engines fetch cached prefixes from each other.
+      reads_pace: True if routers read the pace in load reports.
       max_open_calls: Maximum number of open calls of one router at one engine;
         further calls queue at the router. 0 for no limit.
     """
@@ -71,6 +84,7 @@
     gossips_load = True
     learns_speed = True
     fetches_cache = True
+    reads_pace = True
     max_open_calls = 0
 
     @abstractmethod
@@ -102,9 +116,24 @@
             prompt_parts,
             request.remaining_s,
             request.simulation.now,
+            request.work,
         )
 
 
+@POLICIES.register("by calls")
+class CallCountPolicy(DefaultPolicy):
+    """As the product, without pace and without the work of calls."""
+
+    reads_pace = False
+
+
+@POLICIES.register("by work")
+class WorkPolicy(DefaultPolicy):
+    """As the product where calls are placed by their work."""
+
+    placement_bound = PlacementBound(weighs_work=True)
+
+
 @POLICIES.register("least loaded")
 class LeastLoadedPolicy(DefaultPolicy):
     """Places by load alone, ignoring shared prefixes, and without cache fetches."""
--- a/cranberrysail/benchmark/report.py
+++ b/cranberrysail/benchmark/report.py
@@ -1,12 +1,13 @@
 """Result tables and charts of simulations."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from pathlib import Path
 
+from cranberrysail.benchmark.balance import Balance
 from cranberrysail.benchmark.plot import Series, line_chart
 from cranberrysail.benchmark.simulation import Simulation
 
-__all__ = ["markdown_table", "results_table", "write_plots"]
+__all__ = ["balance_table", "markdown_table", "results_table", "write_plots"]
 
 # Length of the time interval that one point of a chart summarizes.
 BUCKET_S = 1.0
@@ -28,6 +29,20 @@
     "preempted",
     "over twice the mean",
 )
+# "busiest" is the load of the busiest endpoint over the mean, "idle" the mean fraction
+# of idle endpoints while another has a queue, and "coincide" how much more often than
+# by chance two routers chose the same endpoint within 100 ms.
+BALANCE_HEADERS = (
+    "policy",
+    "service",
+    "busiest p50",
+    "p95",
+    "idle",
+    "coincide",
+    "late",
+    "rejected",
+    "over twice the mean",
+)
 
 
 def results_table(simulations: dict[str, Simulation]) -> str:
@@ -40,6 +55,32 @@
     )
 
 
+def balance_table(simulations: dict[str, Simulation]) -> str:
+    """Return how evenly load was spread, as a Markdown table."""
+    rows = [[*BALANCE_HEADERS]]
+    for name, simulation in simulations.items():
+        services = {"engines": (simulation.balance, simulation.counts)}
+        if simulation.plain is not None:
+            services["plain"] = (simulation.plain.balance, simulation.plain.counts)
+        for service, (balance, counts) in services.items():
+            rows.append([name, service, *_balance_cells(balance, counts)])
+    return markdown_table(rows)
+
+
+def _balance_cells(balance: Balance, counts: Counter) -> list[str]:
+    calls = max(1, counts["calls"])
+    idle = balance.idle_shares
+    return [
+        f"{_quantile(balance.ratios, 0.5):.1f}",
+        f"{_quantile(balance.ratios, 0.95):.1f}",
+        f"{sum(idle) / max(1, len(idle)):.3f}",
+        f"{balance.coincidence:.2f}",
+        f"{counts['late'] / calls:.2%}",
+        f"{counts['rejected'] / calls:.2%}",
+        f"{counts['over'] / calls:.2%}",
+    ]
+
+
 def markdown_table(rows: list[list[str]]) -> str:
     """Format rows of cells as a Markdown table; the first row is the header."""
     header, *body = rows
--- a/cranberrysail/benchmark/simulation.py
+++ b/cranberrysail/benchmark/simulation.py
@@ -3,15 +3,22 @@
 import heapq
 import random
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cranberrysail.benchmark.arrivals import Arrival
+from cranberrysail.benchmark.balance import SAMPLE_INTERVAL_S, Balance
 from cranberrysail.benchmark.config import (
     CallProfile,
     EngineJoin,
     SimulationConfig,
 )
 from cranberrysail.benchmark.engine import Engine, EngineCall
+from cranberrysail.benchmark.plain import (
+    PLAIN_SERVICE,
+    PlainCall,
+    PlainDone,
+    PlainService,
+)
 from cranberrysail.benchmark.policy import BasePolicy, PlacementRequest
 from cranberrysail.router.admission import jittered_retry_after_s
 from cranberrysail.router.config import RouterConfig
@@ -21,6 +28,7 @@
 from cranberrysail.router.loadgossip import LoadGossip
 from cranberrysail.router.model import EndpointRecord, RouteTables, Service
 from cranberrysail.router.peers import RouterDirectory, encode_router_record
+from cranberrysail.router.prefillbacklog import CallWork
 from cranberrysail.router.selector import Choice, Selector
 from cranberrysail.router.store import Page
 
@@ -43,6 +51,7 @@
     Attributes:
       index: Index among the routers.
       endpoints: The engines as endpoints of this router, by endpoint id.
+      plain_endpoints: The plain endpoints of this router, by endpoint id.
       waiting: Calls queued at the router, see ``BasePolicy.max_open_calls``.
     """
 
@@ -50,6 +59,7 @@
     selector: Selector
     load_gossip: LoadGossip
     endpoints: dict[str, Endpoint]
+    plain_endpoints: dict[str, Endpoint] = field(default_factory=dict)
     waiting: list[Arrival] = field(default_factory=list)
 
     def choose(
@@ -58,12 +68,19 @@
         prompt_parts: tuple[str, ...],
         remaining_s: float,
         now: float,
+        work: CallWork | None = None,
+        service: str = SERVICE,
     ) -> Choice:
         """Return the choice of the router's selector."""
         return self.selector.choose(
-            tables, SERVICE, prompt_parts, set(), remaining_s, now
+            tables, service, prompt_parts, set(), remaining_s, now, work
         )
 
+    def record_rejection(self, endpoint: Endpoint, now: float) -> None:
+        """Record that an endpoint rejected a call because its queue was full."""
+        stats = self.selector.loads.stats(endpoint)
+        stats.record_response(1.0, failed=True, now=now)
+
     def expected_loads(self, endpoints: list[Endpoint], now: float) -> dict[str, float]:
         """Return the expected open calls at each endpoint by its id."""
         loads = self.selector.loads
@@ -93,6 +110,11 @@
     turn: int = 0
 
 
+@dataclass(frozen=True)
+class BalanceSampleDue:
+    """Event for the next sample of how evenly load is spread."""
+
+
 @dataclass(frozen=True)
 class FirstTokenSample:
     """Latency of the first token of a call.
@@ -131,6 +153,8 @@
         engine was overloaded.
       load_ratios: Times in seconds, each with the load of the busiest engine divided by
         the mean load at that time.
+      balance: Samples of how evenly load is spread over the engines.
+      plain: The plain service, if any.
     """
 
     def __init__(
@@ -139,6 +163,7 @@
         arrivals: list[Arrival],
         policy: BasePolicy,
         seed: int,
+        rate_factor: float = 1.0,
     ) -> None:
         """Create a simulation.
 
@@ -147,6 +172,7 @@
           arrivals: Arrivals of calls.
           policy: Policy that places and prioritizes calls.
           seed: Random seed.
+          rate_factor: Factor on the arrival rate of calls to plain endpoints.
         """
         self.config = config
         self.policy = policy
@@ -162,13 +188,17 @@
             cold_calls_per_s=config.engines.cold_calls_per_s,
         )
         self.tables = RouteTables(1, (), {SERVICE: service})
+        self.balance = Balance()
+        self._seed = seed
+        self._rate_factor = rate_factor
+        self._events: list[tuple[float, int, object]] = []
+        self.plain = self._make_plain()
         records = [self._make_record(n) for n in range(config.engines.count)]
         self.engines = {
             r.endpoint_id: Engine(r.endpoint_id, config.engines) for r in records
         }
         self._slow_engine = next(iter(self.engines.values()))
         self.routers = [self._make_router(n, records) for n in range(config.routers)]
-        self._events: list[tuple[float, int, object]] = []
         for arrival in arrivals:
             self._schedule(arrival.at_s, arrival)
         for join in config.joins:
@@ -178,6 +208,35 @@
                 first_s = self.rng.random() * EXCHANGE_INTERVAL_S
                 self._schedule(first_s, LoadExchangeDue(router))
         self._schedule(LOAD_SAMPLE_INTERVAL_S, None)
+        self._schedule(SAMPLE_INTERVAL_S, BalanceSampleDue())
+
+    def _make_plain(self) -> PlainService | None:
+        if self.config.plain is None:
+            return None
+        plain = PlainService(
+            self.config.plain,
+            self.pace,
+            self._schedule,
+            self._visible_report,
+            self.tables,
+        )
+        for call in plain.arrivals(self.config, self._rate_factor, self._seed):
+            self._schedule(call.at_s, call)
+        return plain
+
+    def pace(self, endpoint: str, at_s: float) -> float:
+        """Return the factor on the time of work at an endpoint because of its host."""
+        paces = self.config.paces
+        if paces is None:
+            return 1.0
+        period = int(at_s * 1000 / paces.every_ms)
+        rng = random.Random(f"{self._seed}-{endpoint}-{period}")
+        return paces.times if rng.random() < paces.share else 1.0
+
+    def _visible_report(self, report: LoadReport) -> LoadReport:
+        if self.config.paces is not None and self.policy.reads_pace:
+            return report
+        return replace(report, pace_percent=None)
 
     @property
     def _slots(self) -> int:
@@ -206,7 +265,7 @@
             admission=self.policy.admission_bound,
         )
         directory = EndpointDirectory()
-        for record in records:
+        for record in [*records, *self._plain_records()]:
             directory.declare(record, 0.0)
         peers = RouterDirectory(cfg.name, cfg.zone)
         entries = tuple(
@@ -222,9 +281,25 @@
         loads = LoadTracker()
         selector = Selector(cfg, directory, loads, peers, self.rng)
         load_gossip = LoadGossip(loads, directory)
-        return SimulatedRouter(
-            index, selector, load_gossip, {e.id: e for e in directory}
-        )
+        engines = {r.endpoint_id: directory.get(r.endpoint_id) for r in records}
+        plain = {e.id: e for e in directory if e.record.service == PLAIN_SERVICE}
+        return SimulatedRouter(index, selector, load_gossip, engines, plain)
+
+    def _plain_records(self) -> list[EndpointRecord]:
+        if self.plain is None:
+            return []
+        return [
+            EndpointRecord(
+                name,
+                1,
+                1,
+                PLAIN_SERVICE,
+                f"10.1.0.{number}:80",
+                ZONES[number % 3],
+                self.config.plain.slots,
+            )
+            for number, name in enumerate(self.plain.endpoints)
+        ]
 
     def _schedule(self, at_s: float, event: object) -> None:
         """Schedule an event; simultaneous events are handled in order of scheduling.
@@ -249,6 +324,12 @@
                 self._place(event.arrival, self.rng.choice(self.routers))
             elif isinstance(event, LoadExchangeDue):
                 self._exchange_loads(event)
+            elif isinstance(event, PlainCall):
+                self.plain.place(event, self.rng.choice(self.routers), self.now)
+            elif isinstance(event, PlainDone):
+                self.plain.end(event, self.now)
+            elif isinstance(event, BalanceSampleDue):
+                self._sample_balance(event)
             elif isinstance(event, EngineJoin):
                 self._add_engines(event)
             else:
@@ -288,16 +369,24 @@
             router.waiting.append(arrival)
             return
         choice.endpoint.open_calls += 1
+        self.balance.record_choice(router.index, choice.endpoint.id)
         router.selector.cold_limiter.record_call(choice.endpoint.id, self.now)
         engine = self.engines[choice.endpoint.id]
         self._count_overload(engine)
         prefill_tokens = arrival.own + self._cache_prefix(
             engine, arrival, choice.cache_source
         )
+        engines = self.config.engines
+        prefill_tokens += engines.prompt_ms * engines.read_tokens_a_ms
         priority = self.policy.priority(profile)
-        engine.enqueue(
-            EngineCall(arrival, profile, router.index, priority, prefill_tokens)
+        call = EngineCall(arrival, profile, router.index, priority, prefill_tokens)
+        call.sent_s = self.now
+        selector = router.selector
+        selector.loads.stats(choice.endpoint).begin_attempt(
+            id(call), choice.forecast, self.now
         )
+        selector.record_work(SERVICE, choice.forecast)
+        engine.enqueue(call)
         if not engine.busy:
             engine.busy = True
             self._schedule(self.now, engine)
@@ -383,6 +472,7 @@
         time_factor = (
             self.config.step_time_factor(self.now) if engine is self._slow_engine else 1
         )
+        time_factor *= self.pace(engine.name, self.now)
         done_s = self.now + engine.step(self.now, time_factor)
         for call in engine.decoding:
             if call.generated_tokens == 1 and call.first_token_s == call.last_token_s:
@@ -404,10 +494,19 @@
         self.samples.append(sample)
         self.counts["late"] += sample.late
         waiting = len(engine.waiting) + len(engine.prefilling)
-        report = LoadReport(len(engine.decoding), waiting, self._slots)
+        pace = round(100 * self.pace(engine.name, self.now))
+        report = LoadReport(len(engine.decoding), waiting, self._slots, pace)
         router = self.routers[call.router_index]
         endpoint = router.endpoints[engine.name]
-        router.selector.loads.record_report(endpoint, report, call.first_token_s)
+        selector = router.selector
+        selector.loads.record_report(
+            endpoint, self._visible_report(report), call.first_token_s
+        )
+        stats = selector.loads.stats(endpoint)
+        forecast = stats.end_attempt(id(call))
+        if forecast is not None:
+            delay_s = call.first_token_s - call.sent_s
+            selector.record_first_event(SERVICE, stats, forecast, delay_s)
 
     def _endpoint(self, engine: Engine, call: EngineCall) -> Endpoint:
         return self.routers[call.router_index].endpoints[engine.name]
@@ -454,6 +553,19 @@
         next_due = LoadExchangeDue(router, due.turn + 1)
         self._schedule(self.now + EXCHANGE_INTERVAL_S, next_due)
 
+    def _sample_balance(self, due: BalanceSampleDue) -> None:
+        """Record how evenly load is spread, and schedule the next sample."""
+        if self.now >= self.config.play_s:
+            return
+        engines = list(self.engines.values())
+        self.balance.sample(
+            [engine.load for engine in engines],
+            [len(engine.waiting) + len(engine.prefilling) > 1 for engine in engines],
+        )
+        if self.plain is not None:
+            self.plain.sample()
+        self._schedule(self.now + SAMPLE_INTERVAL_S, due)
+
     def _sample_load(self) -> None:
         """Record the load ratio, and schedule the next sample.
 
--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -305,6 +305,9 @@
         float, typer.Option(help="Factor for the arrival rates of the sheet.")
     ] = 1.0,
     seed: Annotated[int, typer.Option(help="Random seed.")] = 1,
+    routers: Annotated[
+        int | None, typer.Option(min=1, help="Number of routers, not the sheet's.")
+    ] = None,
     policy: Annotated[
         list[str] | None,
         typer.Option(help="Policy to run; may be repeated. All policies if not given."),
@@ -324,6 +327,8 @@
     from cranberrysail import benchmark
 
     cfg = _unwrap(jsonc.load_model(sheet, benchmark.SimulationConfig))
+    if routers is not None:
+        cfg = cfg.model_copy(update={"routers": routers})
     if arrivals is None:
         calls = benchmark.generate_arrivals(cfg, rate, seed)
     else:
@@ -333,10 +338,12 @@
     simulations = {}
     for name in policy or benchmark.POLICIES.names():
         instance = benchmark.POLICIES.get(name)()
-        simulations[name] = benchmark.Simulation(cfg, calls, instance, seed).run()
+        simulation = benchmark.Simulation(cfg, calls, instance, seed, rate)
+        simulations[name] = simulation.run()
     title = f"{sheet.stem}-{rate:g}"
     typer.echo(f"{title} times its rate, seed {seed}, {len(calls)} calls\n")
     typer.echo(benchmark.results_table(simulations))
+    typer.echo(f"\n{benchmark.balance_table(simulations)}")
     if plots is not None:
         for path in benchmark.write_plots(simulations, plots, title):
             typer.echo(f"\nwrote {path}")
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -54,8 +54,10 @@
 INTERVAL_TOLERANCE = 1.5
 # Time without any byte after which an endpoint with pending calls is unresponsive.
 UNRESPONSIVE_S = 0.7
-# Lower limit of the time to prefill a token; real engines take 7 us and more.
-MIN_SECONDS_PER_TOKEN = 1e-7
+# Time constant with which a backlog of prompts returns to its mean.
+BACKLOG_MEMORY_S = 0.6
+# Time constant of the mean backlog of an endpoint.
+MEAN_BACKLOG_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,8 @@
       prefilling: Forecasts of those of them that have no first event yet.
       reported_waiting: Calls without a first event in the last report.
       other_waiting: Calls of other routers without a first event, in the last report.
+      mean_waiting: Moving average of ``other_waiting``. Homes of popular prompts have
+        more, so a backlog returns to this mean and not to that of all endpoints.
       pace: Reported pace, as a multiple of the usual time; 0 if there is none.
     """
 
@@ -133,6 +137,7 @@
     prefilling: dict[int, FirstEventForecast] = field(default_factory=dict)
     reported_waiting: int = 0
     other_waiting: float = 0.0
+    mean_waiting: float = 0.0
     pace: float = 0.0
 
     def begin_attempt(
@@ -154,20 +159,19 @@
         self.pending.pop(number, None)
         return self.prefilling.pop(number, None)
 
-    def backlog_tokens(self, model: PrefillModel, pace: float, now: float) -> float:
-        """Return the prompt tokens expected to be ahead of a call.
+    def backlog(self, model: PrefillModel, now: float) -> tuple[float, float]:
+        """Return the calls and the prompt tokens expected to be ahead of a call.
 
         Args:
-          model: Speed of the service's endpoints, and the mean work of a call.
-          pace: Time that work takes at the endpoint, as a multiple of the usual time.
+          model: Mean work of a call.
           now: Current time in seconds.
         """
+        age_s = max(0.0, now - self.reported_s)
+        valid = math.exp(-age_s / BACKLOG_MEMORY_S)
+        others = self.mean_waiting + valid * (self.other_waiting - self.mean_waiting)
         own = sum(forecast.call_tokens for forecast in self.prefilling.values())
-        others = self.other_waiting * model.mean_call_tokens
-        if others:
-            seconds = max(0.0, now - self.reported_s) / pace
-            others -= seconds / max(model.seconds_per_token, MIN_SECONDS_PER_TOKEN)
-        return own + max(0.0, others)
+        calls = len(self.prefilling) + others
+        return calls, own + others * model.mean_call_tokens
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether calls are pending and nothing has arrived for too long."""
@@ -273,10 +277,10 @@
             return
         stats.reported_calls = max(0, load - 1)
         stats.other_calls = max(0, load - endpoint.open_calls)
-        stats.reported_s = now
+        interval_s, stats.reported_s = now - stats.reported_s, now
         # The call that brought the report has its first event.
         own_waiting = max(0, len(stats.prefilling) - 1)
-        self._record_work(stats, report.waiting, own_waiting, report.pace)
+        self._record_work(stats, report.waiting, own_waiting, report.pace, interval_s)
         self._mark_received(endpoint, stats, now)
 
     def _mark_received(
@@ -319,15 +323,22 @@
             return
         stats.reported_calls = load
         stats.other_calls = max(0, load - endpoint.open_calls)
-        stats.reported_s = at_s
-        self._record_work(stats, waiting, len(stats.prefilling), pace)
+        interval_s, stats.reported_s = at_s - stats.reported_s, at_s
+        self._record_work(stats, waiting, len(stats.prefilling), pace, interval_s)
         self._mark_received(endpoint, stats, now)
 
     def _record_work(
-        self, stats: EndpointStats, waiting: int, own_waiting: int, pace: float
+        self,
+        stats: EndpointStats,
+        waiting: int,
+        own_waiting: int,
+        pace: float,
+        interval_s: float,
     ) -> None:
         stats.reported_waiting = waiting
         stats.other_waiting = max(0, waiting - own_waiting)
+        weight = 1.0 - math.exp(-max(0.0, interval_s) / MEAN_BACKLOG_S)
+        stats.mean_waiting += weight * (stats.other_waiting - stats.mean_waiting)
         stats.pace = pace
         if pace:
             self.paces.add_sample(pace)
--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -114,6 +114,8 @@
       forecaster: Returns when the first event of the call is expected, by endpoint, the
         number of calls assumed there, and whether it is the home of the call's prompt;
         None if work is not weighed.
+      pace: Expected time that work takes at the endpoint, as a multiple of the usual
+        time; set only for a call without a prompt.
     """
 
     endpoint: Endpoint
@@ -121,6 +123,7 @@
     estimator: Callable[[Endpoint], LoadEstimate]
     deprioritized: bool = False
     forecaster: Forecaster | None = None
+    pace: float = 1.0
     _estimate: LoadEstimate | None = None
 
     @property
@@ -205,8 +208,12 @@
         def sort_key(candidate: Candidate) -> tuple[float, float]:
             same_zone = candidate.endpoint.record.zone == zone
             penalty = 0.0 if same_zone else bound.cross_zone_calls
+            load = candidate.sample_load(normal)
+            if due_s is not None:
+                # The call itself counts, so that pace matters at an idle endpoint too.
+                load = (load + 1) * candidate.pace
             # Endpoints of equal load are chosen at random.
-            return candidate.sample_load(normal) + penalty, normal()
+            return load + penalty, normal()
 
         chosen = min(available, key=sort_key)
         return Placement(chosen, forecast=_forecast(chosen, chosen.load, False))
--- a/cranberrysail/router/prefillbacklog.py
+++ b/cranberrysail/router/prefillbacklog.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 __all__ = [
     "CallWork",
@@ -32,6 +32,17 @@
 # Weight that the samples so far keep when one is added: about 200 samples count, which
 # a router with 6 calls per second gets in half a minute.
 SAMPLE_RETENTION = 0.995
+# The base is this quantile of the delays of first events without the time of the call's
+# own tokens: few calls have none ahead under load.
+BASE_QUANTILE = 0.1
+# Step of the quantile's estimate, relative to the mean delay.
+BASE_STEP = 0.1
+# Number of calls ahead for which the assumed time of a call counts.
+ASSUMED_AHEAD = 0.25
+# Weight of a new sample in the mean number of calls ahead.
+AHEAD_SAMPLE_WEIGHT = 0.05
+# Lower limit of the variance of tokens, if all calls are alike.
+MIN_VARIANCE = 1.0
 # Weight of a new sample in the mean work of a call.
 WORK_SAMPLE_WEIGHT = 0.05
 # Samples longer than this multiple of the forecast are cut to it: they come from
@@ -79,12 +90,14 @@
     Attributes:
       wait_s: Expected time.
       backlog_tokens: Prompt tokens ahead of the call.
+      backlog_calls: Calls ahead of the call.
       call_tokens: Prompt tokens of the call itself that must be prefilled.
       pace: Time that work takes at the endpoint, as a multiple of the usual time.
     """
 
     wait_s: float
     backlog_tokens: float
+    backlog_calls: float
     call_tokens: float
     pace: float = 1.0
 
@@ -119,50 +132,58 @@
 
 @dataclass
 class PrefillModel:
-    """Time to the first event by prompt tokens, fitted to the calls of one service.
+    """Time to the first event of calls to one service.
 
-    The fit is a linear regression in which older samples fade. It starts with samples
-    of the assumed speed.
+    It is a base, a time for each call ahead, and a time for each token of the call. The
+    number of calls ahead is known too vaguely to fit the time of each to single calls:
+    the fit would put it down to the base. The base is therefore a low quantile, and the
+    time for each call ahead is the mean of the rest, over the mean number of calls that
+    engines report to have ahead.
 
     Attributes:
       mean_call_tokens: Mean number of tokens prefilled for a call.
+      mean_ahead: Mean number of calls without a first event in reports.
+      base_s: Time to the first event without any call ahead and any token.
     """
 
     mean_call_tokens: float = 0.0
-    _weight: float = field(init=False)
-    _x: float = field(init=False)
-    _y: float = field(init=False)
-    _xx: float = field(init=False)
-    _xy: float = field(init=False)
-
-    def __post_init__(self) -> None:
-        # Half of the samples have no tokens and half have twice the medium prompt.
-        tokens = 2 * PRIOR_TOKENS
-        seconds = ASSUMED_BASE_S + tokens / ASSUMED_TOKENS_PER_S
-        half = PRIOR_SAMPLES / 2
-        self._weight = PRIOR_SAMPLES
-        self._x = half * tokens
-        self._y = half * (seconds + ASSUMED_BASE_S)
-        self._xx = half * tokens * tokens
-        self._xy = half * tokens * seconds
+    mean_ahead: float = 0.0
+    base_s: float = ASSUMED_BASE_S
+    _weight: float = PRIOR_SAMPLES
+    _x: float = PRIOR_SAMPLES * PRIOR_TOKENS
+    _y: float = PRIOR_SAMPLES * (ASSUMED_BASE_S + PRIOR_TOKENS / ASSUMED_TOKENS_PER_S)
+    # Half of the assumed samples have no tokens and half have twice the medium prompt.
+    _xx: float = PRIOR_SAMPLES / 2 * (2 * PRIOR_TOKENS) ** 2
+    _xy: float = (
+        PRIOR_SAMPLES
+        * PRIOR_TOKENS
+        * (ASSUMED_BASE_S + 2 * PRIOR_TOKENS / ASSUMED_TOKENS_PER_S)
+    )
 
     @property
-    def seconds_per_token(self) -> float:
+    def token_s(self) -> float:
         """Return the time to prefill a token."""
         variance = self._xx * self._weight - self._x * self._x
-        if variance <= 0:
-            return 1 / ASSUMED_TOKENS_PER_S
         covariance = self._xy * self._weight - self._x * self._y
-        return max(0.0, covariance / variance)
+        return max(0.0, covariance / max(variance, MIN_VARIANCE))
 
     @property
-    def base_s(self) -> float:
-        """Return the time to the first event without any token to prefill."""
-        return max(0.0, (self._y - self.seconds_per_token * self._x) / self._weight)
+    def call_s(self) -> float:
+        """Return the time for which a call keeps those behind it waiting."""
+        token_s = self.token_s
+        delay_s = (self._y - token_s * self._x) / self._weight - self.base_s
+        assumed_s = self.base_s + token_s * self.mean_call_tokens
+        ahead = self.mean_ahead + ASSUMED_AHEAD
+        return (max(0.0, delay_s) + ASSUMED_AHEAD * assumed_s) / ahead
 
-    def seconds(self, tokens: float) -> float:
-        """Return the expected time to the first event behind a number of tokens."""
-        return self.base_s + self.seconds_per_token * tokens
+    def seconds(self, calls: float, tokens: float) -> float:
+        """Return the expected time to the first event.
+
+        Args:
+          calls: Calls ahead, of the mean number of tokens.
+          tokens: Tokens of the call, and those by which the calls ahead have more.
+        """
+        return self.base_s + self.call_s * calls + self.token_s * max(0.0, tokens)
 
     def record_call(self, tokens: float) -> None:
         """Record the tokens of a call that is sent."""
@@ -170,22 +191,31 @@
             self.mean_call_tokens = tokens
         self.mean_call_tokens += WORK_SAMPLE_WEIGHT * (tokens - self.mean_call_tokens)
 
-    def record_first_event(self, tokens: float, seconds: float) -> None:
+    def record_first_event(self, tokens: float, seconds: float, ahead: int) -> None:
         """Record the delay of a first event.
 
         Args:
-          tokens: Tokens ahead of the call and of the call, as they were expected.
+          tokens: Tokens of the call, as they were expected.
           seconds: Delay at the usual pace.
+          ahead: Calls without a first event that the engine reports. As many are found
+            on average by a call that arrives as are left by one that gets its first
+            event.
         """
-        seconds = min(seconds, MAX_SAMPLE_RATIO * self.seconds(tokens))
-        for name, value in (
-            ("_weight", 1.0),
-            ("_x", tokens),
-            ("_y", seconds),
-            ("_xx", tokens * tokens),
-            ("_xy", tokens * seconds),
-        ):
-            setattr(self, name, getattr(self, name) * SAMPLE_RETENTION + value)
+        mean_s = self._y / self._weight
+        seconds = min(seconds, MAX_SAMPLE_RATIO * mean_s)
+        rest_s = seconds - self.token_s * tokens
+        if rest_s < self.base_s:
+            step_s = -BASE_STEP * (1 - BASE_QUANTILE) * mean_s
+        else:
+            step_s = BASE_STEP * BASE_QUANTILE * mean_s
+        self.base_s = max(0.0, self.base_s + step_s)
+        self.mean_ahead += AHEAD_SAMPLE_WEIGHT * (ahead - self.mean_ahead)
+        keep = SAMPLE_RETENTION
+        self._weight = self._weight * keep + 1.0
+        self._x = self._x * keep + tokens
+        self._y = self._y * keep + seconds
+        self._xx = self._xx * keep + tokens * tokens
+        self._xy = self._xy * keep + tokens * seconds
 
 
 def parse_pace(pace_percent: int | None) -> float:
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -80,6 +80,7 @@
         return {
             "expected_wait_ms": round(self.forecast.wait_s * 1000),
             "backlog_tokens": round(self.forecast.backlog_tokens),
+            "backlog_calls": round(self.forecast.backlog_calls, 1),
             "call_tokens": round(self.forecast.call_tokens),
             "pace": round(self.forecast.pace, 2),
             "left_late": self.left_late,
@@ -185,9 +186,9 @@
           forecast: When the event was expected.
           seconds: Time from sending the request to the first data.
         """
-        tokens = forecast.backlog_tokens + forecast.call_tokens
-        pace = stats.pace or 1.0
-        self._prefill_model(service).record_first_event(tokens, seconds / pace)
+        self._prefill_model(service).record_first_event(
+            forecast.call_tokens, seconds / (stats.pace or 1.0), stats.reported_waiting
+        )
 
     def record_work(self, service: str, forecast: FirstEventForecast | None) -> None:
         """Record the work of a call that is sent, if it is known."""
@@ -318,13 +319,15 @@
         ) -> FirstEventForecast:
             pace = self.loads.pace(endpoint, now)
             stats = self.loads.stats(endpoint)
-            backlog = stats.backlog_tokens(model, pace, now)
+            calls, backlog = stats.backlog(model, now)
             tokens = model.mean_call_tokens
             if work.prompt_tokens:
                 tokens = work.prefill_tokens(at_home)
             slot_wait_s = expected_wait_s(load, endpoint.record.slots, service_time_s)
-            wait_s = model.seconds(backlog + tokens) + slot_wait_s
-            return FirstEventForecast(wait_s * pace, backlog, tokens, pace)
+            # The calls ahead count with the mean number of tokens.
+            excess = backlog - calls * model.mean_call_tokens
+            wait_s = model.seconds(calls, max(0.0, excess) + tokens) + slot_wait_s
+            return FirstEventForecast(wait_s * pace, backlog, calls, tokens, pace)
 
         def forecast_plain(
             endpoint: Endpoint, load: float, _at_home: bool
@@ -332,11 +335,13 @@
             pace = self.loads.pace(endpoint, now)
             slot_wait_s = expected_wait_s(load, endpoint.record.slots, service_time_s)
             wait_s = (service_time_s + slot_wait_s) * pace
-            return FirstEventForecast(wait_s, 0.0, 0.0, pace)
+            return FirstEventForecast(wait_s, 0.0, 0.0, 0.0, pace)
 
         forecaster = forecast_engine if service.engine_slots else forecast_plain
         for candidate in candidates:
             candidate.forecaster = forecaster
+            if not service.engine_slots:
+                candidate.pace = self.loads.pace(candidate.endpoint, now)
         due_s = work.due_s * self.cfg.placement.due_share
         return due_s if due_s > 0 else math.inf
 
