--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -288,6 +288,7 @@
                 self._on_no_endpoint(call, choice)
                 return
             self._log_placement(call, choice)
+            self._metrics.count("placements", choice.placement_kind)
             if not call.tried:
                 self._budget.record_first_send(call.service, now())
             attempt = await self.attempt_runner.run(call, choice)
--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -107,12 +107,20 @@
 def _placed(line: LogLine) -> str:
     cache = f", cache from {line['cache_from']}" if line.get("cache_from") else ""
     rank = f", rank {line['rank']}" if line.get("rank") is not None else ""
+    work = ""
+    if line.get("expected_wait_ms") is not None:
+        work = (
+            f"; first event expected in {line['expected_wait_ms']} ms at pace "
+            f"{line.get('pace')} behind {line.get('backlog_calls')} calls with "
+            f"{line.get('backlog_tokens')} tokens"
+            + (", late at its home" if line.get("left_late") else "")
+        )
     return (
         f"attempt {line.get('attempt')} assigned to {line.get('endpoint')} by "
         f"route {line.get('route')}: load {line.get('load')} by a report "
         f"{line.get('report_age_s')} s old, mean {line.get('mean')}, calls spill above "
-        f"{line.get('spill_load')}; {line.get('of')} candidates{rank}{cache}; tables "
-        f"version {line.get('tables')}, last declaration of the endpoint read "
+        f"{line.get('spill_load')}; {line.get('of')} candidates{rank}{cache}{work}; "
+        f"tables version {line.get('tables')}, last declaration of the endpoint read "
         f"{line.get('declared_age_s')} s earlier"
     )
 
--- a/cranberrysail/router/load.py
+++ b/cranberrysail/router/load.py
@@ -159,16 +159,22 @@
         self.pending.pop(number, None)
         return self.prefilling.pop(number, None)
 
-    def backlog(self, model: PrefillModel, now: float) -> tuple[float, float]:
-        """Return the calls and the prompt tokens expected to be ahead of a call.
+    def backlog(
+        self, model: PrefillModel, now: float, normal: float
+    ) -> tuple[float, float]:
+        """Return a sample of the calls and prompt tokens ahead of a call.
 
         Args:
           model: Mean work of a call.
           now: Current time in seconds.
+          normal: Sample of the standard normal distribution, so that routers with the
+            same reports choose differently.
         """
         age_s = max(0.0, now - self.reported_s)
         valid = math.exp(-age_s / BACKLOG_MEMORY_S)
         others = self.mean_waiting + valid * (self.other_waiting - self.mean_waiting)
+        variance = (1.0 - valid) * (valid * self.other_waiting + self.mean_waiting)
+        others = max(0.0, others + normal * math.sqrt(variance))
         own = sum(forecast.call_tokens for forecast in self.prefilling.values())
         calls = len(self.prefilling) + others
         return calls, own + others * model.mean_call_tokens
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -73,6 +73,15 @@
     forecast: FirstEventForecast | None = None
     left_late: bool = False
 
+    @property
+    def placement_kind(self) -> str:
+        """Return why the call goes to this endpoint, for metrics."""
+        if self.rank is None:
+            return "no prompt"
+        if self.rank == 0:
+            return "home"
+        return "home late" if self.left_late else "home loaded"
+
     def work_fields(self) -> dict[str, object]:
         """Return the log fields that tell how the work of the call was weighed."""
         if self.forecast is None:
@@ -319,7 +328,7 @@
         ) -> FirstEventForecast:
             pace = self.loads.pace(endpoint, now)
             stats = self.loads.stats(endpoint)
-            calls, backlog = stats.backlog(model, now)
+            calls, backlog = stats.backlog(model, now, self.rng.gauss(0.0, 1.0))
             tokens = model.mean_call_tokens
             if work.prompt_tokens:
                 tokens = work.prefill_tokens(at_home)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -195,3 +195,16 @@
     """Routers that drop such reports know no load, and overload endpoints."""
     headers = [(b"cranberrysail-server-load", value)]
     assert HEADERS_CODEC.response_head(200, headers).report == report
+
+
+def test_prompt_tokens_are_parsed():
+    head = HEADERS_CODEC.call_head(CALLER_HEADERS)
+    assert (head.prompt_tokens, head.part_tokens) == (1460, (800, 410, 250))
+
+
+@pytest.mark.parametrize("value", [b"a,b", b"a:x,b:", b"a:-1,b:1.5"])
+def test_invalid_prompt_tokens_count_as_none(value):
+    headers = [(b"cranberrysail-prompt-prefix", value)]
+    head = HEADERS_CODEC.call_head(headers)
+    assert head.prompt_parts == ("a", "b")
+    assert (head.prompt_tokens, head.part_tokens) == (0, (0, 0))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,3 +80,16 @@
     assert settings.changed()
     settings.load()
     assert not settings.changed()
+
+
+@pytest.mark.parametrize(
+    ("contracts", "weighs_work"),
+    [
+        ("", False),
+        ("contracts = []\n", False),
+        ('contracts = ["rollout"]\n', False),
+        ('contracts = ["rollout", "pressure"]\n', True),
+    ],
+)
+def test_calls_are_placed_by_work_under_the_pressure_contract(contracts, weighs_work):
+    assert parse(contracts + TEXT, "test").placement.weighs_work == weighs_work
