--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -10,6 +10,7 @@
 from cranberrysail.router.admission import AdmissionBound
 from cranberrysail.router.coldlimit import ColdBound
 from cranberrysail.router.config import BaseSettingsSource, RouterConfig
+from cranberrysail.router.placement import PlacementBound
 from cranberrysail.router.retrybudget import RetryBound
 from cranberrysail.router.rolloutmodel import RolloutBound
 
@@ -24,7 +25,8 @@
 # Minimum bandwidth of the link, in Mbit/s, for a router to relay the store's records to
 # all others of its zone. With a slower link it relays to few, if no faster one can.
 MIN_RELAY_MBPS = 20.0
-# Contract by which scarce capacity is allocated by urgency, deadline and fair shares.
+# Contract under which calls are placed by their work, and scarce capacity is allocated
+# by urgency, deadline and fair shares.
 PRESSURE_CONTRACT = "pressure"
 
 
@@ -139,6 +141,7 @@
         ),
         rollout=rollout,
         admission=AdmissionBound(allocates=PRESSURE_CONTRACT in node.contracts),
+        placement=PlacementBound(weighs_work=PRESSURE_CONTRACT in node.contracts),
     )
 
 
--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -262,11 +262,13 @@
             call.tried,
             call.remaining_s,
             now(),
+            call.work,
         )
         if choice.endpoint is None:
             self._responder.no_endpoint(call, choice)
             return None
         self._call_log.placed(call, choice)
+        self._metrics.count("placements", choice.placement_kind)
         return choice
 
     async def _send(self, call: Call, choice: Choice) -> Attempt:
--- a/cranberrysail/router/calllog.py
+++ b/cranberrysail/router/calllog.py
@@ -52,6 +52,7 @@
             cache_from=choice.cache_source.id if choice.cache_source else None,
             cold=endpoint.is_cold(now()),
             declared_age_s=round(now() - endpoint.declared_s, 2),
+            **choice.work_fields(),
             tables=call.tables.version,
             attempt=len(call.tried) + 1,
         )
