--- a/cranberrysail/router/calllog.py
+++ b/cranberrysail/router/calllog.py
@@ -121,7 +121,6 @@
             id=call.head.request_id,
             service=call.service,
             why=choice.reason,
-            version=endpoint.record.version or None,
             load=round(choice.load, 1),
             of=choice.candidates,
             ran=call.executions,
