--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -2,17 +2,17 @@
 
 import os
 import tomllib
-from pathlib import Path
 
 import msgspec
 
 from cranberrysail.errors import ConfigError
 from cranberrysail.router.admission import AdmissionBound
 from cranberrysail.router.coldlimit import ColdBound
-from cranberrysail.router.config import BaseSettingsSource, RouterConfig
+from cranberrysail.router.config import RouterConfig
 from cranberrysail.router.placement import PlacementBound
 from cranberrysail.router.retrybudget import RetryBound
 from cranberrysail.router.rolloutmodel import RolloutBound
+from cranberrysail.router.settingsfile import SettingsFile
 
 __all__ = ["ADMIN_PORT", "SETTINGS_VARIABLE", "NodeFileSettings", "parse"]
 
@@ -145,7 +145,7 @@
     )
 
 
-class NodeFileSettings(BaseSettingsSource):
+class NodeFileSettings(SettingsFile):
     """Settings that are loaded from the platform's settings file."""
 
     def __init__(self, path: str) -> None:
@@ -154,8 +154,7 @@
         Args:
           path: Path of the settings file.
         """
-        self._path = Path(path)
-        self._loaded_mtime_and_size: tuple[int, int] | None = None
+        super().__init__(path, parse)
 
     @classmethod
     def from_environment(cls) -> "NodeFileSettings":
@@ -171,32 +170,3 @@
             )
             raise ConfigError("environment", [problem])
         return cls(path)
-
-    def _read_mtime_and_size(self) -> tuple[int, int] | None:
-        try:
-            stat = self._path.stat()
-        except OSError:
-            return None
-        return (stat.st_mtime_ns, stat.st_size)
-
-    def changed(self) -> bool:
-        """Return whether the file has changed since it was last loaded."""
-        mtime_and_size = self._read_mtime_and_size()
-        return (
-            mtime_and_size is not None and mtime_and_size != self._loaded_mtime_and_size
-        )
-
-    def load(self) -> RouterConfig:
-        """Return the current settings.
-
-        Raises:
-          ConfigError: If the file cannot be read or is not valid.
-        """
-        self._loaded_mtime_and_size = self._read_mtime_and_size()
-        source = str(self._path)
-        try:
-            text = self._path.read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as exc:
-            problem = f"cannot be read ({exc}); check the path"
-            raise ConfigError(source, [problem]) from exc
-        return parse(text, source)
--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -12,6 +12,11 @@
     UnsignedInteger,
 )
 from cranberrysail.router.httpstore import HttpStoreClient
+from cranberrysail.router.keyedrecords import (
+    count_records,
+    decode_records,
+    encode_record,
+)
 from cranberrysail.router.store import (
     BaseStore,
     EraChangedError,
@@ -22,7 +27,7 @@
     Topic,
 )
 
-__all__ = ["PlatformStore", "decode_era", "decode_records", "encode_record"]
+__all__ = ["PlatformStore", "decode_era"]
 
 # Names of the topics on the platform. Routers may write to the last one only.
 TOPIC_NAMES = {
@@ -87,13 +92,6 @@
     has_more: bool = False
 
 
-def encode_record(key: str, value: bytes) -> bytes:
-    """Encode a keyed record, prefixed with its length."""
-    key_bytes = key.encode()
-    content = bytes([len(key_bytes)]) + key_bytes + value
-    return struct.pack(">I", len(content)) + content
-
-
 def decode_era(headers: list[tuple[bytes, bytes]]) -> int:
     """Return the era that a response states, 0 if it states none."""
     value = next((value for name, value in headers if name == ERA_HEADER), b"")
@@ -102,32 +100,6 @@
     return int(value)
 
 
-def decode_records(data: bytes) -> tuple[tuple[str, bytes | None], ...]:
-    """Decode pairs of key and value; the value is None if the key was removed.
-
-    Records without a valid key are skipped.
-
-    Raises:
-      StoreError: If the data is truncated.
-    """
-    records = []
-    pos = 0
-    while pos < len(data):
-        if pos + 4 > len(data):
-            raise StoreError("the store's records are truncated; read them again")
-        (size,) = struct.unpack_from(">I", data, pos)
-        content = data[pos + 4 : pos + 4 + size]
-        if len(content) < size:
-            raise StoreError("the store's records are truncated; read them again")
-        pos += 4 + size
-        if not content or len(content) < 1 + content[0]:
-            continue
-        key = content[1 : 1 + content[0]].decode("utf-8", "replace")
-        value = bytes(content[1 + content[0] :])
-        records.append((key, value or None))
-    return tuple(records)
-
-
 class PlatformStore(BaseStore):
     """Client of the store, with a persistent connection for each topic.
 
@@ -217,7 +189,7 @@
                 first,
             )
         records = decode_records(body[OFFSETS_BYTES:])
-        count = _count_records(body[OFFSETS_BYTES:])
+        count = count_records(body[OFFSETS_BYTES:])
         # A page may leave records for the next read, but not all of them.
         if end > start and not count:
             raise StoreError("the store's page is truncated: no records; read again")
@@ -255,13 +227,3 @@
         return base64.b64decode(item.value, validate=True)
     except ValueError as exc:
         raise StoreError(f"the value of {item.key!r} is not valid base64") from exc
-
-
-def _count_records(data: bytes) -> int:
-    """Count the records, including skipped ones, which also take an offset."""
-    count = pos = 0
-    while pos < len(data):
-        (size,) = struct.unpack_from(">I", data, pos)
-        pos += 4 + size
-        count += 1
-    return count
