--- a/cranberrysail/router/rollouts.py
+++ b/cranberrysail/router/rollouts.py
@@ -126,6 +126,11 @@
         known = self._services.get(service)
         return known.stored if known else None
 
+    def forget_stored(self) -> None:
+        """Forget what the store had, before all that it has now is applied."""
+        for service in self._services.values():
+            service.stored = None
+
     def _status(self, rollout: Rollout) -> RolloutStatus:
         wanted = rollout.wanted_phase(now())
         elapsed_s = rollout.elapsed_s(now())
--- a/cranberrysail/router/routingstate.py
+++ b/cranberrysail/router/routingstate.py
@@ -201,7 +201,7 @@
         is_status_key = self.stored_rollouts.is_status_key
         # Earlier records of a key may be those of an order that was withdrawn.
         statuses = {key: value for key, value in page.records if is_status_key(key)}
-        self.stored_rollouts.apply(tuple(statuses.items()))
+        self.stored_rollouts.apply(tuple(statuses.items()), page.is_snapshot)
         indexes = [
             index
             for index, (key, _) in enumerate(page.records)
--- a/cranberrysail/router/storedrollouts.py
+++ b/cranberrysail/router/storedrollouts.py
@@ -102,8 +102,16 @@
         """Return whether the routers' record under a key is the status of an order."""
         return self._codec.is_status_key(key)
 
-    def apply(self, records: Records) -> None:
-        """Apply records of statuses."""
+    def apply(self, records: Records, is_snapshot: bool = False) -> None:
+        """Apply records of statuses.
+
+        Args:
+          records: Keys and values, None for a record that was removed.
+          is_snapshot: True if they are all that the store has. One that was restored
+            may lack some, which are then written again.
+        """
+        if is_snapshot:
+            self._rollouts.forget_stored()
         for key, value in records:
             if value is None:
                 continue
--- a/tests/router/rolloutscenario.py
+++ b/tests/router/rolloutscenario.py
@@ -49,6 +49,8 @@
       bad_s: Times at which bad responses of the new version were sent.
       received: Time and version of each request that endpoints received.
       statuses: Time and content of the statuses in the store.
+      received_from: The same with the name of the router.
+      routers_of_calls: Names of the routers by the id of the call.
       results: Statuses that callers received.
     """
 
@@ -61,6 +63,8 @@
     statuses: list[tuple[float, dict]] = field(default_factory=list)
     callers: list[asyncio.Task] = field(default_factory=list)
     hosts: dict[str, str] = field(default_factory=dict)
+    received_from: list[tuple[float, str, str]] = field(default_factory=list)
+    routers_of_calls: dict[str, str] = field(default_factory=dict)
     _count: int = 0
     _seen: int = 0
     _open: dict[str, int] = field(default_factory=dict)
@@ -83,6 +87,9 @@
         async def answer(conn, received) -> None:
             now_s = self.world.loop.time()
             self.received.append((now_s, version))
+            request = received.headers["cranberrysail-attempt-id"]
+            router = self.routers_of_calls[request]
+            self.received_from.append((now_s, version, router))
             self._open[name] = self._open.get(name, 0) + 1
             try:
                 bad = version != "v1" and self._is_bad(name, received.path, now_s)
@@ -132,7 +139,9 @@
             await asyncio.sleep(1 / calls_per_s)
             number += 1
             names = sorted(self.hosts)
-            host = self.hosts[names[number % len(names)]]
+            name = names[number % len(names)]
+            host = self.hosts[name]
+            self.routers_of_calls[f"c{number}"] = name
             path = ROUTES[number // len(names) % len(ROUTES)]
             self.callers.append(asyncio.ensure_future(self._one(host, path, number)))
 
@@ -161,6 +170,23 @@
         key = f"rollout/{service}"
         self.world.store.append(Topic.OPERATORS, key, json.dumps(order).encode())
 
+    def cut_off(self, name: str) -> None:
+        """Cut a router off from the store and all other routers, but not endpoints."""
+        router = self.world.routers[name]
+        self.world.store.view_for(name).away = True
+        del self.world.loop.servers[self.hosts[name], 8003]
+        for transport in self.world.loop.transports:
+            if transport.host == self.hosts[name]:
+                transport.abort()
+        directory = router.routers
+        for partners in ("preferred_peers", "fallback_peers", "quarantine_partners"):
+            setattr(directory, partners, list)
+        directory.load_partners = lambda turn: []
+
+    def kill(self, name: str) -> None:
+        """End a router abruptly."""
+        self.world.kill(self.world.routers[name], self.hosts.pop(name))
+
     def stop(self) -> None:
         """Stop the callers."""
         for task in self.callers:
