--- a/cranberrysail/router/rollout.py
+++ b/cranberrysail/router/rollout.py
@@ -27,6 +27,8 @@
 # calls at old endpoints about 1 s, and the store a second if it is slow.
 EARLIEST_VERDICT = 0.6
 LATEST_VERDICT = 0.72
+# Time for the store, and other routers, to pass on a verdict that came last.
+VERDICT_STORED_S = 0.5
 # Time for which responses of the new version must have been seen, as a fraction of the
 # duration, since endpoints may become ready late.
 MIN_OBSERVED = 0.12
@@ -268,7 +270,8 @@
         if self.withdrawn:
             return REASON_WITHDRAWN
         if self.phase is Phase.EXPOSURE:
-            if self.elapsed_s(now) < LATEST_VERDICT * self.order.duration_s + 0.5:
+            latest_s = LATEST_VERDICT * self.order.duration_s
+            if self.elapsed_s(now) < latest_s + VERDICT_STORED_S:
                 return ""
             return REASON_UNPROVEN if self._capacity.ready else REASON_NO_ENDPOINT
         if now >= self.final_at_s and not self._can_carry_load(now):
--- a/cranberrysail/router/rolloutevidence.py
+++ b/cranberrysail/router/rolloutevidence.py
@@ -28,8 +28,10 @@
 
 # Number of a counter: the route's id times this, plus side and field.
 FIELDS_PER_ROUTE = 8
-# Routes are told apart by so many values; the tables of a deployment have some tens.
-ROUTE_IDS = 1 << 16
+# Routes are told apart by so many values, of which a counter's number takes three bytes
+# in a message. The tables of a deployment have some tens; two with one value are judged
+# together.
+ROUTE_IDS = 1 << 12
 # Periods in which lost responses are counted once each, since the crash of one endpoint
 # loses many at once. The order's duration is divided into at most so many periods.
 MAX_LOSS_PERIODS = 60
--- a/cranberrysail/router/rolloutexchange.py
+++ b/cranberrysail/router/rolloutexchange.py
@@ -32,7 +32,7 @@
 from cranberrysail.router.rollouts import Rollouts
 from cranberrysail.router.store import StoreError
 
-__all__ = ["RolloutExchange"]
+__all__ = ["CountsMessage", "RolloutExchange"]
 
 # Interval at which evidence is judged.
 UPDATE_INTERVAL_S = 0.1
@@ -58,7 +58,7 @@
 ]
 
 
-class _Counted(msgspec.Struct, array_like=True):
+class CountsMessage(msgspec.Struct, array_like=True):
     """Counts of a router or a zone.
 
     Attributes:
@@ -72,7 +72,8 @@
     open_all: UnsignedInteger = 0
 
     @classmethod
-    def of(cls, evidence: ZoneEvidence) -> "_Counted":
+    def of(cls, evidence: ZoneEvidence) -> "CountsMessage":
+        """Return a message with counts."""
         gauges = evidence.gauges
         gauged_ms = None
         if gauges.at_s >= 0:
@@ -90,7 +91,14 @@
 
 
 class _News(msgspec.Struct, array_like=True):
-    """What a router knows of one order."""
+    """What a router knows of one order.
+
+    Attributes:
+      elapsed_ms: Time since any router first read it.
+      router: Number of the router's process.
+      own: Counts of the router; None in messages that need only those of zones.
+      zones: Counts of zones, by name.
+    """
 
     service: str
     to: str
@@ -100,8 +108,8 @@
     reason: str
     router: UnsignedInteger
     zone: str
-    own: _Counted
-    zones: Annotated[dict[str, _Counted], msgspec.Meta(max_length=MAX_ZONES)]
+    own: CountsMessage | None
+    zones: Annotated[dict[str, CountsMessage], msgspec.Meta(max_length=MAX_ZONES)]
 
 
 _DECODER: MessageDecoder[list[_News]] = MessageDecoder.msgpack(list[_News])
@@ -137,13 +145,25 @@
         rollouts.on_change = self._changed.set
 
     def encode(self) -> bytes:
-        """Return a message with all orders that are shared."""
+        """Return a response with all orders that are shared."""
+        return self._encode(with_own=False, with_zones=True)
+
+    def _encode(self, with_own: bool, with_zones: bool) -> bytes:
         return msgspec.msgpack.encode(
-            [self._news(rollout) for rollout in self._rollouts.active().values()]
+            [
+                self._news(rollout, with_own, with_zones)
+                for rollout in self._rollouts.active().values()
+            ]
         )
 
-    def _news(self, rollout: Rollout) -> _News:
+    def _encode_request(self, partner: RegisteredRouter) -> bytes:
+        """Return a request: the first router of a zone needs a router's counts only."""
+        is_own_zone = partner.zone == self._zone
+        return self._encode(with_own=is_own_zone, with_zones=not is_own_zone)
+
+    def _news(self, rollout: Rollout, with_own: bool, with_zones: bool) -> _News:
         evidence: Evidence = rollout.evidence
+        zones = evidence.zones if with_zones else {}
         return _News(
             rollout.order.service,
             rollout.order.to,
@@ -153,8 +173,8 @@
             rollout.reason,
             self._rollouts.router_id,
             self._zone,
-            _Counted.of(evidence.own),
-            {name: _Counted.of(zone) for name, zone in evidence.zones.items()},
+            CountsMessage.of(evidence.own) if with_own else None,
+            {name: CountsMessage.of(zone) for name, zone in zones.items()},
         )
 
     def merge_message(self, message: bytes, is_request: bool) -> None:
@@ -178,9 +198,9 @@
         if rollout is None:
             return
         evidence: Evidence = rollout.evidence
-        if is_request and news.zone == self._zone:
+        own = news.own
+        if is_request and own is not None and news.zone == self._zone:
             self._asked_by_zone_s = now()
-            own = news.own
             evidence.merge_router(news.router, own.counts, own.losses, own.gauges)
         for name, zone in news.zones.items():
             evidence.merge_zone(name, zone.counts, zone.losses, zone.gauges)
@@ -200,7 +220,7 @@
             if not (changed or self._changed.is_set() or now() >= due_s):
                 continue
             self._changed.clear()
-            due_s = now() + EXCHANGE_INTERVAL_S * random.uniform(0.8, 1.0)
+            due_s = now() + EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1)
             await asyncio.gather(*(self._exchange(p) for p in self._partners()))
             await asyncio.sleep(CHANGE_PAUSE_S)
 
@@ -237,7 +257,11 @@
         )
         try:
             response = await client.request(
-                "rollouts", "POST", ROLLOUTS_PATH, self.encode(), RESPONSE_TIMEOUT_S
+                "rollouts",
+                "POST",
+                ROLLOUTS_PATH,
+                self._encode_request(partner),
+                RESPONSE_TIMEOUT_S,
             )
             self.merge_message(response.body, is_request=False)
         except (StoreError, InvalidMessageError) as exc:
