Roll-outs: writes no longer end waiting reads; orders after a roll-back; held versions

A status was read and written by the connections of the topic's waiting read and of other writes, which closes them (HttpStoreClient has one request per channel); each key now has its own (tests/platform/test_rollout_store.py). An order that was rolled back is executed again when it is written again, except within 4 s of a restore. In the shift a call with no admissible new endpoint and no old one was refused as if there were no endpoint.

--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -3,6 +3,7 @@
 import os
 import tomllib
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -80,7 +81,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_interval_ms: float = 1200.0
-    contracts: list[str] = []
+    contracts: list[Any] | dict[str, Any] = []
 
 
 def parse(text: str, source: str) -> RouterConfig:
--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -152,6 +152,13 @@
 
     async def read_snapshot(self, topic: Topic) -> Page:
         """Return the newest record of each key that has not been removed."""
+        return await self._read_newest(topic, topic.value)
+
+    async def read_for_append(self, topic: Topic, key: str) -> Page:
+        """Return a snapshot by a connection of its own for each key."""
+        return await self._read_newest(topic, f"append {key}")
+
+    async def _read_newest(self, topic: Topic, channel: str) -> Page:
         records: list[tuple[str, bytes | None]] = []
         end: int | None = None
         era: int | None = None
@@ -161,7 +168,7 @@
             if after:
                 query += f"&after={quote(after, safe='')}"
             response = await self._http.request(
-                topic.value, "GET", query, b"", RESPONSE_TIMEOUT_S
+                channel, "GET", query, b"", RESPONSE_TIMEOUT_S
             )
             page = self._decode_page(response.body)
             page_era = decode_era(response.headers)
@@ -234,7 +241,11 @@
         """Write a record if the log ends at an offset."""
         query = f"/v1/log-append?topic={TOPIC_NAMES[topic]}&part=0&at={at}"
         response = await self._http.request(
-            "put", "POST", query, encode_record(key, value), RESPONSE_TIMEOUT_S
+            f"append {key}",
+            "POST",
+            query,
+            encode_record(key, value),
+            RESPONSE_TIMEOUT_S,
         )
         try:
             offset = self._append_decoder.decode(response.body).offset
--- a/cranberrysail/router/rollout.py
+++ b/cranberrysail/router/rollout.py
@@ -1,6 +1,6 @@
 """Decisions on one order: which calls try the new version, the verdict, the phases.
 
-Nothing here reads a clock or does I/O. ``docs/design/rollouts.md`` gives the reasons.
+Nothing here reads the time or does I/O. ``docs/design/rollouts.md`` gives the reasons.
 """
 
 from collections.abc import Callable
@@ -84,7 +84,7 @@
     """One order at one router.
 
     Attributes:
-      started_s: First read of the order by any router, on this router's clock.
+      started_s: First read of the order by any router.
       old_versions: Versions that the calls come from; None until endpoints are known.
       phase: How far the order has come.
       reason: Why it was stopped.
@@ -204,14 +204,13 @@
             return old or (new if self.phase is Phase.SHIFT else [])
         if not self._takes_new(now):
             return old or (new if self.phase is Phase.SHIFT else [])
-        if self.phase is Phase.EXPOSURE:
-            new = self.canaries(new)
-        chosen = [e for e in new if admissible(e)]
-        if not chosen:
-            # The call that the new version is owed waits for its endpoints.
-            self._credit += 1.0
-            return old
-        return chosen
+        tried = self.canaries(new) if self.phase is Phase.EXPOSURE else new
+        chosen = [e for e in tried if admissible(e)]
+        if chosen:
+            return chosen
+        # The call that the new version is owed waits for its endpoints.
+        self._credit += 1.0
+        return old or (new if self.phase is Phase.SHIFT else [])
 
     def _is_abandoned(self, old: list[Endpoint], now: float) -> bool:
         """Return whether the old endpoints are gone, as the order was completed.
--- a/cranberrysail/router/rollouts.py
+++ b/cranberrysail/router/rollouts.py
@@ -48,7 +48,6 @@
         have the same content.
       stored: The newest status read from the store.
       barred: Versions that get no calls, as they were rolled back.
-      ended: Orders that were rolled back and not withdrawn since.
       final_s: Time at which the final state became known.
       pending: Order of a restored store that is applied unless it is written again.
     """
@@ -58,7 +57,6 @@
     withdrawn_s: float = float("-inf")
     stored: RolloutStatus | None = None
     barred: set[str] = field(default_factory=set)
-    ended: set[RolloutOrder] = field(default_factory=set)
     final_s: float = float("inf")
     pending: tuple[float, RolloutOrder | None] | None = None
 
@@ -159,7 +157,8 @@
         Args:
           orders: Orders by service, None for one that was withdrawn.
           is_snapshot: Whether they are all that there are.
-          restored: Whether the store was restored from a copy, and may lack the newest.
+          restored: Whether the store was restored lately from a copy. It may lack the
+            newest orders, and shows orders again that were known.
           kept: Services whose orders stand although a snapshot lacks them.
         """
         if not self.enabled:
@@ -176,9 +175,17 @@
         for name, order in orders.items():
             service = self._services.setdefault(name, _Service())
             service.pending = None
-            if service.rollout is not None and restored:
+            if service.rollout is not None and restored and is_snapshot:
                 service.pending = (now() + ORDERS_REWRITE_S, order)
                 continue
+            is_repeated = (
+                service.rollout is not None
+                and service.rollout.phase is Phase.ROLLED_BACK
+                and service.rollout.order == order
+            )
+            if is_repeated and not restored and not is_snapshot:
+                # Operators have written it again, to try once more.
+                self._withdraw(name, service)
             self._apply_order(name, service, order, is_snapshot)
 
     def _apply_order(
@@ -222,15 +229,12 @@
             snapshot=is_snapshot,
         )
         self._metrics.count("rollout_orders")
-        if order in service.ended:
-            self._advance(service, Phase.ROLLED_BACK, "it was rolled back before")
         if service.stored is not None:
             self.apply_status(service.stored)
         self.on_change()
 
     def _withdraw(self, name: str, service: _Service) -> None:
         rollout = service.rollout
-        service.ended.clear()
         service.withdrawn_s = now()
         if rollout is None or rollout.withdrawn:
             return
@@ -329,7 +333,6 @@
             service.final_s = now()
         if rollout.phase is Phase.ROLLED_BACK:
             service.barred.add(rollout.order.to)
-            service.ended.add(rollout.order)
         counts, losses = rollout.evidence.total()
         elapsed_s = rollout.elapsed_s(now())
         open_old, open_all = rollout.evidence.open_calls(elapsed_s, MAX_GAUGE_AGE_S)
@@ -381,7 +384,7 @@
 
     def _is_held(self, endpoint: Endpoint, now: float) -> bool:
         key = (endpoint.record.service, endpoint.record.version)
-        seen_s = self._first_seen_s.get(key, now)
+        seen_s = self._first_seen_s.get(key, float("-inf"))
         return now - seen_s < NEW_VERSION_HOLD_S
 
     def _of_service(self, name: str) -> list[Endpoint]:
@@ -471,7 +474,8 @@
         """Judge the evidence of all orders, and apply what waited long enough."""
         if not self.enabled:
             return
-        self._note_versions(self._endpoints)
+        if not self._first_seen_s:
+            self._note_versions(self._endpoints)
         for name, service in list(self._services.items()):
             if service.pending is not None and now() >= service.pending[0]:
                 order, service.pending = service.pending[1], None
@@ -492,7 +496,7 @@
 
     def note_endpoint(self, endpoint: Endpoint) -> None:
         """Note the version of an endpoint that has appeared."""
-        if self.enabled:
+        if self.enabled and self._first_seen_s:
             self._note_versions([endpoint])
 
     def _judge(self, name: str, service: _Service, rollout: Rollout) -> None:
--- a/cranberrysail/router/routingstate.py
+++ b/cranberrysail/router/routingstate.py
@@ -254,7 +254,7 @@
                 rejected.add(service)
                 continue
             orders[service] = order
-        restored = page.is_snapshot and now() < self._zone_deadline_s
+        restored = now() < self._zone_deadline_s
         self.rollouts.apply_orders(orders, page.is_snapshot, restored, rejected)
 
     def apply_tables(self, record: Record, source: str) -> bool:
--- a/cranberrysail/router/store.py
+++ b/cranberrysail/router/store.py
@@ -186,6 +186,18 @@
             have been written all the same.
         """
 
+    async def read_for_append(self, topic: Topic, key: str) -> Page:
+        """Return a snapshot, without disturbing other reads of the topic.
+
+        Args:
+          topic: The topic.
+          key: Key of the record that is to be written; there is one write at a time.
+
+        Raises:
+          StoreError: If the store returns no usable response.
+        """
+        return await self.read_snapshot(topic)
+
     async def append_at(self, topic: Topic, key: str, value: bytes, at: int) -> None:
         """Write a record if the log ends at an offset.
 
--- a/cranberrysail/router/storedrollouts.py
+++ b/cranberrysail/router/storedrollouts.py
@@ -178,7 +178,7 @@
           StoreError: If the store returns no usable response.
         """
         key = self._codec.status_key(service)
-        page = await self._store.read_snapshot(Topic.ROUTERS)
+        page = await self._store.read_for_append(Topic.ROUTERS, key)
         self.apply(tuple(r for r in page.records if r[0] == key))
         stored = self._read_status(key, dict(page.records).get(key))
         # What was read may have changed what is wanted.
--- a/tests/platform/simulatedstore.py
+++ b/tests/platform/simulatedstore.py
@@ -40,8 +40,11 @@
         topic = TOPICS[query["topic"]]
         if path == "/v1/log-append":
             ((key, value),) = decode_records(body)
+            end = self.records.bounds(topic)[1]
+            if int(query.get("at", end)) != end:
+                return 409, json.dumps({"end": end}).encode()
             self.records.append(topic, key, value)
-            return 200, b"{}"
+            return 200, json.dumps({"offset": end, "end": end + 1}).encode()
         if path == "/v1/log-newest":
             return 200, self.newest_page(topic, query.get("after", ""))
         start, wait_s = int(query["from"]), int(query["wait_ms"]) / 1000
--- a/tests/router/test_rollout_fleet.py
+++ b/tests/router/test_rollout_fleet.py
@@ -250,6 +250,55 @@
     assert "v2" not in scenario.received_between(0.0, DURATION_S)
 
 
+def test_order_that_was_rolled_back_may_be_given_again():
+    """Its content is the same, so only the new record shows that it is new."""
+
+    async def order(scenario):
+        scenario.fault = Fault()
+        scenario.order("v2")
+        scenario.add_workers("v2", 4)
+        await asyncio.sleep(6.0)
+        scenario.fault = None
+        scenario.order("v2")
+        await asyncio.sleep(DURATION_S)
+
+    scenario = run_orders(order)
+    assert scenario.states == ["running", "rolled_back", "running", "completed"]
+
+
+def test_old_order_that_a_restored_store_shows_again_is_not_executed():
+    """What operators write again after a restore undid a final state."""
+
+    async def order(scenario):
+        scenario.fault = Fault()
+        scenario.order("v2")
+        scenario.add_workers("v2", 4)
+        await asyncio.sleep(6.0)
+        store = scenario.world.store
+        store.restore(store.copy())
+        await asyncio.sleep(1.0)
+        scenario.order("v2")
+        await asyncio.sleep(6.0)
+
+    scenario = run_orders(order)
+    assert scenario.states == ["running", "rolled_back"]
+    assert "v2" not in scenario.received_between(0.0, 6.0)
+
+
+def test_version_that_appears_before_its_order_is_read_gets_no_calls():
+    """Endpoints of a bad version had all calls until the order was read."""
+
+    async def order(scenario):
+        scenario.ordered_s = scenario.world.loop.time()
+        scenario.add_workers("v2", 4)
+        await asyncio.sleep(1.4)
+        assert "v2" not in scenario.received_between(0.0, 1.4)
+        await asyncio.sleep(2.0)
+        assert "v2" in scenario.received_between(0.0, 3.4)
+
+    run_orders(order)
+
+
 def test_order_may_be_given_again_after_it_was_withdrawn():
     """The final state of the first execution does not end the second one."""
 
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -57,7 +57,11 @@
         "load",
         "outcome",
         "placement",
+        "responsetimes",
         "retrybudget",
+        "rollout",
+        "rolloutevidence",
+        "rolloutmodel",
     )
     for name in decisions:
         text = (SOURCES / "router" / f"{name}.py").read_text("utf-8")
