--- a/cranberrysail/router/responsetimes.py
+++ b/cranberrysail/router/responsetimes.py
@@ -18,8 +18,8 @@
 
     A host that others use, too, slows its endpoints 2.5 times for a while, and a mean
     includes such times. The first event of a stream may have to wait for the prefill of
-    a prompt that other endpoints have in their caches, and for another before it: 0.18 s
-    each for 12,000 tokens at 66 per ms.
+    a prompt that other endpoints have in their caches, and for another one before it:
+    0.18 s each for 12,000 tokens at 66 per ms.
 
     Attributes:
       RESPONSE: Time from sending a request to its response, other than a stream.
