--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -2,6 +2,8 @@
 
 import os
 import tomllib
+from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -95,7 +97,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     fault_tolerance: _FaultTolerance = msgspec.field(default_factory=_FaultTolerance)
     heartbeat_interval_ms: float = 1200.0
-    contracts: list[str] = []
+    contracts: list[Any] | dict[str, Any] = []
 
 
 def parse(text: str, source: str) -> RouterConfig:
--- a/cranberrysail/router/rollout.py
+++ b/cranberrysail/router/rollout.py
@@ -1,6 +1,6 @@
 """Decisions on one order: which calls try the new version, the verdict, the phases.
 
-Nothing here reads a clock or does I/O. ``docs/design/rollouts.md`` gives the reasons.
+Nothing here reads the time or does I/O. ``docs/design/rollouts.md`` gives the reasons.
 """
 
 from collections.abc import Callable
@@ -27,6 +27,8 @@
 # calls at old endpoints about 1 s, and the store a second if it is slow.
 EARLIEST_VERDICT = 0.6
 LATEST_VERDICT = 0.72
+# Time for the store, and other routers, to pass on a verdict that came last.
+VERDICT_STORED_S = 0.5
 # Time for which responses of the new version must have been seen, as a fraction of the
 # duration, since endpoints may become ready late.
 MIN_OBSERVED = 0.12
@@ -40,10 +42,11 @@
 RAMP = 0.08
 RAMP_START = 0.2
 # A final state is to be written this long before the deadline at the latest. The store
-# must acknowledge it 1 s before; a slow store takes 0.4 s for a response.
-FINAL_MARGIN_S = 2.0
+# must acknowledge it 1 s before; a slow store takes 0.4 s for a response, of which a
+# write needs two, and the first writers may have ended.
+FINAL_MARGIN_S = 3.0
 # Of short orders, this fraction of the duration.
-FINAL_MARGIN = 0.15
+FINAL_MARGIN = 0.2
 # After the last router moved its calls, open calls of all routers are known after this
 # time: some intervals of the exchange.
 SETTLE_S = 1.0
@@ -81,7 +84,7 @@
     """One order at one router.
 
     Attributes:
-      started_s: First read of the order by any router, on this router's clock.
+      started_s: First read of the order by any router.
       old_versions: Versions that the calls come from; None until endpoints are known.
       phase: How far the order has come.
       reason: Why it was stopped.
@@ -201,14 +204,13 @@
             return old or (new if self.phase is Phase.SHIFT else [])
         if not self._takes_new(now):
             return old or (new if self.phase is Phase.SHIFT else [])
-        if self.phase is Phase.EXPOSURE:
-            new = self.canaries(new)
-        chosen = [e for e in new if admissible(e)]
-        if not chosen:
-            # The call that the new version is owed waits for its endpoints.
-            self._credit += 1.0
-            return old
-        return chosen
+        tried = self.canaries(new) if self.phase is Phase.EXPOSURE else new
+        chosen = [e for e in tried if admissible(e)]
+        if chosen:
+            return chosen
+        # The call that the new version is owed waits for its endpoints.
+        self._credit += 1.0
+        return old or (new if self.phase is Phase.SHIFT else [])
 
     def _is_abandoned(self, old: list[Endpoint], now: float) -> bool:
         """Return whether the old endpoints are gone, as the order was completed.
@@ -268,7 +270,8 @@
         if self.withdrawn:
             return REASON_WITHDRAWN
         if self.phase is Phase.EXPOSURE:
-            if self.elapsed_s(now) < LATEST_VERDICT * self.order.duration_s + 0.5:
+            latest_s = LATEST_VERDICT * self.order.duration_s
+            if self.elapsed_s(now) < latest_s + VERDICT_STORED_S:
                 return ""
             return REASON_UNPROVEN if self._capacity.ready else REASON_NO_ENDPOINT
         if now >= self.final_at_s and not self._can_carry_load(now):
--- a/cranberrysail/router/routingstate.py
+++ b/cranberrysail/router/routingstate.py
@@ -201,7 +201,7 @@
         is_status_key = self.stored_rollouts.is_status_key
         # Earlier records of a key may be those of an order that was withdrawn.
         statuses = {key: value for key, value in page.records if is_status_key(key)}
-        self.stored_rollouts.apply(tuple(statuses.items()))
+        self.stored_rollouts.apply(tuple(statuses.items()), page.is_snapshot)
         indexes = [
             index
             for index, (key, _) in enumerate(page.records)
@@ -254,7 +254,7 @@
                 rejected.add(service)
                 continue
             orders[service] = order
-        restored = page.is_snapshot and now() < self._zone_deadline_s
+        restored = now() < self._zone_deadline_s
         self.rollouts.apply_orders(orders, page.is_snapshot, restored, rejected)
 
     def apply_tables(self, record: Record, source: str) -> bool:
--- a/cranberrysail/router/storedrollouts.py
+++ b/cranberrysail/router/storedrollouts.py
@@ -97,13 +97,24 @@
         self._log = log
         self._wanted_since: dict[str, tuple[object, float]] = {}
         self._retry_at_s: dict[str, float] = {}
+        # Services that this router wrote for as those before it did not in time; it
+        # does not wait for them again.
+        self._stands_in: set[str] = set()
 
     def is_status_key(self, key: str) -> bool:
         """Return whether the routers' record under a key is the status of an order."""
         return self._codec.is_status_key(key)
 
-    def apply(self, records: Records) -> None:
-        """Apply records of statuses."""
+    def apply(self, records: Records, is_snapshot: bool = False) -> None:
+        """Apply records of statuses.
+
+        Args:
+          records: Keys and values, None for a record that was removed.
+          is_snapshot: True if they are all that the store has. One that was restored
+            may lack some, which are then written again.
+        """
+        if is_snapshot:
+            self._rollouts.forget_stored()
         for key, value in records:
             if value is None:
                 continue
@@ -134,6 +145,8 @@
                 since_s = now()
             since[service] = (content, since_s)
             rank = self._rank_of(self._codec.status_key(service))
+            if service in self._stands_in:
+                rank = 0
             waits_until_s = max(
                 since_s + rank * WRITER_DELAY_S, self._retry_at_s.get(service, 0.0)
             )
@@ -165,7 +178,7 @@
           StoreError: If the store returns no usable response.
         """
         key = self._codec.status_key(service)
-        page = await self._store.read_snapshot(Topic.ROUTERS)
+        page = await self._store.read_for_append(Topic.ROUTERS, key)
         self.apply(tuple(r for r in page.records if r[0] == key))
         stored = self._read_status(key, dict(page.records).get(key))
         # What was read may have changed what is wanted.
@@ -181,6 +194,10 @@
                 wanted=wanted.state.value,
             )
             return False
+        if wanted.is_final:
+            self._stands_in.discard(service)
+        else:
+            self._stands_in.add(service)
         value = self._codec.encode_status(wanted)
         await self._store.append_at(Topic.ROUTERS, key, value, page.next_offset)
         self._log.write(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 
 from cranberrysail.errors import ConfigError
 from cranberrysail.platform.settings import NodeFileSettings, parse
+from cranberrysail.router.rolloutmodel import RolloutBound
 
 TEXT = """
 node_name = "front-1"
@@ -93,3 +94,15 @@
 )
 def test_calls_are_placed_by_work_under_the_pressure_contract(contracts, weighs_work):
     assert parse(contracts + TEXT, "test").placement.weighs_work == weighs_work
+
+
+@pytest.mark.parametrize("contracts", ["", 'contracts = ["pressure"]\n'])
+def test_orders_have_no_effect_without_the_contract(contracts):
+    assert parse(contracts + TEXT, "test").rollout is None
+
+
+def test_bounds_of_rollouts_are_parsed():
+    text = 'contracts = ["pressure", "rollout"]\n' + TEXT.replace(
+        "[bounds]", "[bounds]\nexposure_share = 0.2\nrollback_ms = 4000"
+    )
+    assert parse(text, "test").rollout == RolloutBound(0.2, 50.0, 4.0)
