Command line: exit with the status of the command

What users saw: "replay" of a trace with a difference printed it and exited with 0, as did "demo". With standalone mode off, the library returns the status of typer.Exit instead of raising it, and main dropped it. The test failed before (0 in place of 1).

--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -351,9 +351,8 @@
 def main() -> None:
     """Run the command line; print errors to standard error."""
     try:
-        app(standalone_mode=False)
-    except typer.Exit as exc:
-        sys.exit(exc.exit_code)
+        # The exit status of a command that ends with typer.Exit is returned.
+        sys.exit(app(standalone_mode=False))
     except CranberryError as exc:
         print(f"error: {exc}", file=sys.stderr)
         sys.exit(exc.exit_code)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -111,3 +111,13 @@
 def test_a_usage_error_exits_with_2_and_help_with_0():
     assert run("frobnicate").returncode == 2
     assert run("--help").returncode == 0
+
+
+def test_replay_with_a_difference_exits_with_1(tmp_path):
+    """Guards against a failed replay that scripts take for a passed one."""
+    head = next((ROOT / "traces").glob("*.jsonl")).read_text().splitlines()[0]
+    path = tmp_path / "trace.jsonl"
+    path.write_text(f'{head}\n{{"type": "end", "least": {{"answered": 1}}}}')
+    result = run("replay", path)
+    assert "differs" in result.stderr
+    assert result.returncode == 1
