check-tables: report problems of tables before they are sent

Routers apply any tables that they can decode. The command names what has no effect or another one than it seems to have: routes that never match, unknown and unused services, weights and limits that contradict each other, duplicate names, keys and JSON members, and a version that is not above the one in force.

It uses the decoder of the input boundary; decode_entries gives services and customers before duplicates replace each other. The modules are imported when the command runs.

--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -112,6 +112,28 @@
     typer.echo(f"{file}: valid settings of router {cfg.name}")
 
 
+@app.command("check-tables")
+def check_tables(
+    file: Annotated[
+        Path, typer.Argument(help="File with the tables of the prepared platform.")
+    ],
+    against: Annotated[
+        Path | None, typer.Option(help="File with the tables in force.")
+    ] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Report problems of tables, and differences from those in force.
+
+    The exit status is 0 if there are no problems, 1 if there are, and 2 if a file
+    cannot be read. Differences alone are no problem.
+    """
+    from cranberrysail.tablereport import check_files
+
+    report = check_files(file, against)
+    typer.echo(report.to_json() if as_json else report.to_text())
+    raise typer.Exit(report.exit_status)
+
+
 async def _call_table_editor(
     url: str, operation: Callable[[TableEditor], Any]
 ) -> Result[PublishedEdit, CranberryError]:
--- a/cranberrysail/platform/records.py
+++ b/cranberrysail/platform/records.py
@@ -22,6 +22,7 @@
     Route,
     RouteTables,
     Service,
+    TableEntries,
 )
 
 __all__ = ["PlatformDecoder"]
@@ -170,6 +171,14 @@
         self._version_decoder = MessageDecoder.json(_ConfigVersion)
         self._declaration_decoder = MessageDecoder.json(_EndpointDeclaration)
 
+    def decode_entries(self, value: bytes) -> TableEntries:
+        """Return services and customers of the configuration, with duplicates."""
+        config = self._config_decoder.decode(value)
+        return TableEntries(
+            tuple(service.to_service() for service in config.services),
+            tuple((Customer(t.name, t.priority), t.api_keys) for t in config.tenants),
+        )
+
     def decode_tables(self, value: bytes) -> RouteTables:
         """Return the route tables of the operators' configuration."""
         config = self._config_decoder.decode(value)
--- a/cranberrysail/router/model.py
+++ b/cranberrysail/router/model.py
@@ -12,6 +12,7 @@
     "Route",
     "RouteTables",
     "Service",
+    "TableEntries",
 ]
 
 # Maximum number of digits of a version of the configuration.
@@ -179,3 +180,17 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+
+@dataclass(frozen=True, slots=True)
+class TableEntries:
+    """Services and customers of one configuration as they stand there, for checks.
+
+    In the tables, the last of several entries with the same key replaces the others.
+
+    Attributes:
+      customers: Customers with their API keys.
+    """
+
+    services: tuple[Service, ...]
+    customers: tuple[tuple[Customer, list[str]], ...]
