--- a/cranberrysail/cli.py
+++ b/cranberrysail/cli.py
@@ -112,6 +112,28 @@
     typer.echo(f"{file}: valid settings of router {cfg.name}")
 
 
+@app.command("check-tables")
+def check_tables(
+    file: Annotated[
+        Path, typer.Argument(help="File with the tables of the prepared platform.")
+    ],
+    against: Annotated[
+        Path | None, typer.Option(help="File with the tables in force.")
+    ] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Report problems of tables, and differences from those in force.
+
+    The exit status is 0 if there are no problems, 1 if there are, and 2 if a file
+    cannot be read. Differences alone are no problem.
+    """
+    from cranberrysail.tablereport import check_files
+
+    report = check_files(file, against)
+    typer.echo(report.to_json() if as_json else report.to_text())
+    raise typer.Exit(report.exit_status)
+
+
 async def _call_table_editor(
     url: str, operation: Callable[[TableEditor], Any]
 ) -> Result[PublishedEdit, CranberryError]:
@@ -358,9 +380,8 @@
 def main() -> None:
     """Run the command line; print errors to standard error."""
     try:
-        app(standalone_mode=False)
-    except typer.Exit as exc:
-        sys.exit(exc.exit_code)
+        # The exit status of a command that ends with typer.Exit is returned.
+        sys.exit(app(standalone_mode=False))
     except CranberryError as exc:
         print(f"error: {exc}", file=sys.stderr)
         sys.exit(exc.exit_code)
--- a/cranberrysail/platform/records.py
+++ b/cranberrysail/platform/records.py
@@ -21,6 +21,7 @@
     Route,
     RouteTables,
     Service,
+    TableEntries,
 )
 from cranberrysail.router.rolloutmodel import (
     Phase,
@@ -214,6 +215,14 @@
         self._order_decoder = MessageDecoder.json(_Order)
         self._status_decoder = MessageDecoder.json(_Status)
 
+    def decode_entries(self, value: bytes) -> TableEntries:
+        """Return services and customers of the configuration, with duplicates."""
+        config = self._config_decoder.decode(value)
+        return TableEntries(
+            tuple(service.to_service() for service in config.services),
+            tuple((Customer(t.name, t.priority), t.api_keys) for t in config.tenants),
+        )
+
     def decode_tables(self, value: bytes) -> RouteTables:
         """Return the route tables of the operators' configuration."""
         config = self._config_decoder.decode(value)
