--- a/cranberrysail/router/httprequest.py
+++ b/cranberrysail/router/httprequest.py
@@ -100,6 +100,7 @@
     Attributes:
       request: The request that is incomplete, or None.
       reading_head: True until its head is complete.
+      is_parsing: True while input is being parsed.
     """
 
     def __init__(self, sink: RequestSink) -> None:
@@ -113,7 +114,6 @@
         self._overhead = self._create_meter()
         self._unparsed = b""
         self._offset = 0
-        self._is_parsing = False
         self._raw_head_bytes = 0
         # Those that count towards the limit of the tables.
         self._head_bytes = 0
@@ -123,6 +123,12 @@
         self._max_body_bytes = 0
         self.request: HttpRequest | None = None
         self.reading_head = True
+        self.is_parsing = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is held, neither a request nor input."""
+        return self.request is None and not self._unparsed
 
     @property
     def held_bytes(self) -> int:
@@ -159,16 +165,16 @@
 
     def resume(self) -> None:
         """Parse input that was kept, as far as there is room for requests."""
-        if self._is_parsing:
+        if self.is_parsing or not self._unparsed:
             return
-        self._is_parsing = True
+        self.is_parsing = True
         try:
             while self._unparsed and self._sink.takes_requests:
                 self._parse_slice(self._next_slice())
                 if self._sink.ignores_requests:
                     self.discard()
         finally:
-            self._is_parsing = False
+            self.is_parsing = False
 
     def _next_slice(self) -> bytes:
         size = SLICE_BYTES
@@ -197,13 +203,13 @@
             self._sink.reject(400, "bad_request")
         except MessageTooLongError:
             self._sink.reject(431, "headers_too_large")
-        if self.reading_head and self._raw_head_bytes > self._max_raw_head_bytes:
-            self._sink.reject(431, "headers_too_large")
+        if self.reading_head and self._raw_head_bytes > MIN_RAW_HEAD_BYTES:
+            self._check_raw_head()
 
-    @property
-    def _max_raw_head_bytes(self) -> int:
+    def _check_raw_head(self) -> None:
         max_head_bytes = self._sink.caller_limits.max_header_bytes
-        return max(MIN_RAW_HEAD_BYTES, HEAD_SIZE_MARGIN * max_head_bytes)
+        if self._raw_head_bytes > HEAD_SIZE_MARGIN * max_head_bytes:
+            self._sink.reject(431, "headers_too_large")
 
     def _parse(self, data: bytes) -> None:
         while True:
--- a/cranberrysail/router/memoryaccount.py
+++ b/cranberrysail/router/memoryaccount.py
@@ -94,14 +94,35 @@
     Attributes:
       budget: Most that they are to hold, in bytes.
       used: What they hold now.
+      calm_bytes: What they may hold before anybody yields.
     """
 
     budget: int = field(default_factory=lambda: budget_bytes(0))
     used: int = 0
+    calm_bytes: int = field(init=False, default=0)
     _holdings: dict[HoldingKind, set[MemoryHolding]] = field(
         default_factory=lambda: {kind: set() for kind in HoldingKind}
     )
 
+    def __post_init__(self) -> None:
+        self.set_budget(self.budget)
+
+    def set_budget(self, budget: int) -> None:
+        """Apply a changed budget."""
+        self.budget = budget
+        self.calm_bytes = int(INCOMING_HIGH_FRACTION * budget)
+
+    def adjust(self, holding: MemoryHolding, held_bytes: int) -> bool:
+        """Change what a holding holds, and return whether anybody may have to yield.
+
+        Args:
+          holding: A holding that holds something.
+          held_bytes: What it holds now; not 0.
+        """
+        self.used += held_bytes - holding.held_bytes
+        holding.held_bytes = held_bytes
+        return self.used > self.calm_bytes
+
     def charge(self, holding: MemoryHolding, held_bytes: int, now: float) -> None:
         """Set what a holding holds.
 
@@ -139,7 +160,7 @@
     @property
     def is_short(self) -> bool:
         """Return whether anybody has to yield."""
-        if self.used <= INCOMING_HIGH_FRACTION * self.budget:
+        if self.used <= self.calm_bytes:
             return False
         if self._holdings[HoldingKind.INCOMING]:
             return True
--- a/cranberrysail/router/resourcelimits.py
+++ b/cranberrysail/router/resourcelimits.py
@@ -60,7 +60,7 @@
 
     def configure(self, memory_mb: float, file_descriptors: int) -> None:
         """Apply changed settings."""
-        self.account.budget = budget_bytes(memory_mb)
+        self.account.set_budget(budget_bytes(memory_mb))
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         max_connections = max_accepted(file_descriptors)
         if allowed != resource.RLIM_INFINITY:
@@ -71,8 +71,12 @@
         """Set what a holding holds, and have others yield if memory is short."""
         if holding.held_bytes == held_bytes:
             return
-        self.account.charge(holding, held_bytes, now())
-        if self.account.is_short:
+        if holding.held_bytes and held_bytes:
+            may_be_short = self.account.adjust(holding, held_bytes)
+        else:
+            self.account.charge(holding, held_bytes, now())
+            may_be_short = self.account.used > self.account.calm_bytes
+        if may_be_short and self.account.is_short:
             self.relieve()
 
     def relieve(self) -> None:
--- a/cranberrysail/router/serverconn.py
+++ b/cranberrysail/router/serverconn.py
@@ -185,6 +185,17 @@
     def data_received(self, data: bytes) -> None:
         """Parse request bytes."""
         self._receiver.feed(data)
+        self._update_incoming()
+
+    def _update_incoming(self) -> None:
+        """Pause or resume reading, and charge what was received."""
+        if (
+            self._receiver.is_empty
+            and not self._queue
+            and not self._incoming.held_bytes
+        ):
+            # As after most reads: one whole request, which is being handled.
+            return
         self._pause_or_resume_reading()
         self._charge_incoming()
 
@@ -253,6 +264,8 @@
 
     def _start_next(self) -> None:
         """Handle the next request; go on with the input that waited for its place."""
+        if not self._queue:
+            return
         started = False
         while self._can_start:
             started = True
@@ -265,10 +278,11 @@
             else:
                 self._refuse(request)
             self._receiver.resume()
-        if started and not self._closing:
-            self._pause_or_resume_reading()
-            self._charge_incoming()
-        if started and self._handler_task is None:
+        if not started:
+            return
+        if not self._closing and not self._receiver.is_parsing:
+            self._update_incoming()
+        if self._handler_task is None:
             self._end_if_nothing_follows()
 
     def _end_if_nothing_follows(self) -> None:
