Small calls are taken on whatever large bodies and unread responses hold

A few large bodies for an endpoint that does not read, or responses that nobody reads, could hold the budget so that small calls were refused until their deadlines. Requests above 64 KiB and unread responses now have 0.9 of it.

--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -180,6 +180,7 @@
             0.0, head.timeout_s or DEFAULT_CALLER_TIMEOUT_S
         )
         self._log.write("refused", id=head.request_id, why="memory_short")
+        self._metrics.count("answers_own", "503 memory_short")
         return self._header_codec.error_headers(head.request_id, retry_after_s)
 
     def _send_error(
--- a/cranberrysail/router/memoryaccount.py
+++ b/cranberrysail/router/memoryaccount.py
@@ -31,6 +31,12 @@
 # The rest of the budget remains for complete requests and their responses.
 INCOMING_HIGH_FRACTION = 0.75
 INCOMING_LOW_FRACTION = 0.6
+# Fraction above which calls yield whose callers do not read, and up to which requests
+# that hold much are taken on. Small requests have the rest, so that neither keeps them
+# out.
+RESERVED_FROM_FRACTION = 0.9
+# Largest request that may use the rest.
+MAX_SMALL_REQUEST_BYTES = 64 * 1024
 # Multiple of the budget above which calls in progress yield. New calls are refused at
 # the budget, but those in progress may still grow, and connections are added.
 RUNNING_FRACTION = 1.25
@@ -155,7 +161,10 @@
         Args:
           new_bytes: What it will hold besides what is held for it already.
         """
-        return self.used + new_bytes <= self.budget
+        room = self.budget
+        if new_bytes > MAX_SMALL_REQUEST_BYTES:
+            room *= RESERVED_FROM_FRACTION
+        return self.used + new_bytes <= room
 
     @property
     def is_short(self) -> bool:
@@ -164,17 +173,16 @@
             return False
         if self._holdings[HoldingKind.INCOMING]:
             return True
-        if self.used <= self.budget:
-            return False
-        most = RUNNING_FRACTION * self.budget
-        return bool(self._holdings[HoldingKind.UNREAD]) or self.used > most
+        if self._holdings[HoldingKind.UNREAD]:
+            return self.used > RESERVED_FROM_FRACTION * self.budget
+        return self.used > RUNNING_FRACTION * self.budget
 
     def next_to_yield(self, now: float) -> list[MemoryHolding]:
         """Return the holdings that yield now, in order; empty if memory suffices.
 
         Incomplete requests yield until the account is clearly below its budget, so
-        that this is rarely computed. Calls whose callers do not read yield above the
-        budget, and others only if the account exceeds it by far.
+        that this is rarely computed. Calls whose callers do not read yield close to
+        the budget, and others only if the account exceeds it by far.
 
         Args:
           now: Current time in seconds.
@@ -183,7 +191,8 @@
             return []
         target = INCOMING_LOW_FRACTION * self.budget
         chosen, left = self._heaviest(HoldingKind.INCOMING, self.used, target, now)
-        more, left = self._heaviest(HoldingKind.UNREAD, left, self.budget, now)
+        target = RESERVED_FROM_FRACTION * self.budget
+        more, left = self._heaviest(HoldingKind.UNREAD, left, target, now)
         chosen += more
         most = RUNNING_FRACTION * self.budget
         return chosen + self._heaviest(HoldingKind.RUNNING, left, most, now)[0]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,3 +80,16 @@
     assert settings.changed()
     settings.load()
     assert not settings.changed()
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ("", (0.0, 0)),
+        ("memory_mb = 427\nfile_descriptors = 8192", (427.0, 8192)),
+        ("memory_mb = 200.5\nfile_descriptors = 4100.0", (200.5, 4100)),
+    ],
+)
+def test_limits_of_the_process_are_optional(lines, expected):
+    cfg = parse(TEXT.replace("link_mbps = 1000.0", lines), "test")
+    assert (cfg.memory_mb, cfg.file_descriptors) == expected
--- a/tests/router/test_resourcelimits.py
+++ b/tests/router/test_resourcelimits.py
@@ -2,11 +2,20 @@
 
 import asyncio
 import contextlib
+import re
 
 import pytest
 
 from cranberrysail.router.httplistener import HttpListener
+from cranberrysail.router.model import CallerLimits
 from cranberrysail.router.resourcelimits import ResourceLimits
+from tests.router.simulatedfleet import (
+    SimulatedFleet,
+    make_config,
+    make_request,
+    plain_answer,
+)
+from tests.router.virtualloop import run_virtual
 
 POST = b"POST / HTTP/1.1\r\nhost: h\r\n"
 GET = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -196,3 +205,80 @@
     assert head.startswith(b"HTTP/1.1 200")
     assert connections <= 16
     assert reasons == {"descriptors"}
+
+
+def test_call_that_is_refused_for_memory_never_runs_and_is_told_so():
+    """Guards against refusals without the id of the call or a time to retry."""
+
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        world.write_config(make_config())
+        worker = world.add_worker("p0", "plain", plain_answer)
+        router = await world.start_router()
+        with router.resources.hold(router.resources.account.budget, lambda: None):
+            refused = await world.send_and_wait(make_request("/look/1", "a1"))
+        served = await world.send_and_wait(make_request("/look/2", "a2"))
+        await asyncio.sleep(1.0)
+        return refused, served, len(worker.requests), world.log_lines, router
+
+    refused, served, runs, lines, router = run_virtual(main)
+    assert (refused.status, served.status, runs) == (503, 200, 1)
+    head = refused.data.lower()
+    assert b"memory_short" in head
+    assert b"attempt-id: a1" in head
+    (retry_after_s,) = re.findall(rb"retry-after: ([\d.]+)", head)
+    assert 0 < float(retry_after_s) < 1
+    (shed,) = [fields for kind, fields in lines if kind == "client_shed"]
+    assert (shed["listener"], shed["why"]) == ("callers", "memory_refused")
+    assert router.metrics.by_label("clients_shed") == {"callers memory_refused": 1}
+
+
+def test_call_that_goes_on_without_its_caller_is_charged_only_what_it_holds():
+    """Guards against charges that stay, or end too early, for calls of kind once."""
+
+    async def answer_late(conn, received):
+        await asyncio.sleep(60.0)
+
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        world.write_config(make_config())
+        world.add_worker("p0", "plain", answer_late)
+        router = await world.start_router()
+        idle = router.resources.account.used
+        caller = await world.send(make_request("/book/1", "a1", body=bytes(9_000)))
+        await asyncio.sleep(0.1)
+        running = router.resources.account.used - idle
+        caller.transport.abort()
+        await asyncio.sleep(0.1)
+        return running, router.resources.account.used - idle
+
+    running, left = run_virtual(main)
+    assert running >= 9_000
+    assert left == 0
+
+
+def test_connection_whose_caller_reads_nothing_is_closed_in_time():
+    """Guards against connections that stay for ever with a response in them."""
+
+    async def main():
+        shed = Shed()
+
+        async def handle(request, conn):
+            conn.send_response(200, [], bytes(8_000_000))
+
+        listener, port, _ = await start(shed.resources, handle)
+        listener.limits = CallerLimits(idle_timeout_s=0.2)
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1)
+        writer.write(GET)
+        checks = asyncio.ensure_future(listener.check_timeouts_forever())
+        async with asyncio.timeout(20):
+            while not shed.reasons or listener.conns:
+                await asyncio.sleep(0.05)
+        checks.cancel()
+        writer.transport.abort()
+        listener.stop_listening()
+        return shed
+
+    shed = asyncio.run(main())
+    assert shed.reasons == ["unread_timeout"]
+    assert shed.resources.account.used == 0
