--- a/cranberrysail/router/callresponses.py
+++ b/cranberrysail/router/callresponses.py
@@ -104,6 +104,7 @@
             0.0, head.timeout_s or DEFAULT_CALLER_TIMEOUT_S
         )
         self._call_log.log.write("refused", id=head.request_id, why="memory_short")
+        self._call_log.metrics.count("answers_own", "503 memory_short")
         return self._header_codec.error_headers(head.request_id, retry_after_s)
 
     def deny(
--- a/cranberrysail/router/httprequest.py
+++ b/cranberrysail/router/httprequest.py
@@ -11,7 +11,7 @@
     OverheadMeter,
 )
 from cranberrysail.router.clock import now
-from cranberrysail.router.memoryaccount import head_field_bytes
+from cranberrysail.router.memoryaccount import HEADER_OBJECT_BYTES
 from cranberrysail.router.model import CallerLimits
 from cranberrysail.router.upgradeoffer import BodyParserCallbacks, head_without_offer
 
@@ -27,8 +27,10 @@
 # queue, stops the parser early. 256 KiB, which is read from a socket at once, can
 # contain 9,000 requests. Most requests fit into one slice.
 SLICE_BYTES = 4 * 1024
-# A request with its list of headers and its target. Measured: 0.4 KB.
+# A request with its list of headers.
 REQUEST_BYTES = 512
+# Bytes of a header line that count towards its limit besides name and value.
+LINE_BYTES = 4
 
 
 @dataclass(slots=True)
@@ -98,6 +100,7 @@
     Attributes:
       request: The request that is incomplete, or None.
       reading_head: True until its head is complete.
+      is_parsing: True while input is being parsed.
     """
 
     def __init__(self, sink: RequestSink) -> None:
@@ -111,15 +114,21 @@
         self._overhead = self._create_meter()
         self._unparsed = b""
         self._offset = 0
-        self._is_parsing = False
         self._raw_head_bytes = 0
         # Those that count towards the limit of the tables.
         self._head_bytes = 0
-        self._head_objects_bytes = 0
+        self._max_head_bytes = 0
         self._body = bytearray()
         self._content_length = 0
+        self._max_body_bytes = 0
         self.request: HttpRequest | None = None
         self.reading_head = True
+        self.is_parsing = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is held, neither a request nor input."""
+        return self.request is None and not self._unparsed
 
     @property
     def held_bytes(self) -> int:
@@ -127,14 +136,17 @@
         unparsed = len(self._unparsed)
         if self.request is None:
             return unparsed
-        body = self._body.__sizeof__()
-        return REQUEST_BYTES + self._head_objects_bytes + body + unparsed
+        return self._head_held_bytes + self._body.__sizeof__() + unparsed
+
+    @property
+    def _head_held_bytes(self) -> int:
+        objects = HEADER_OBJECT_BYTES * len(self.request.headers)
+        return REQUEST_BYTES + objects + self._head_bytes
 
     def discard(self) -> None:
         """Release what was received of an incomplete request, and unparsed input."""
         self._unparsed, self._offset = b"", 0
         self._body = bytearray()
-        self._head_objects_bytes = 0
         if self.request is not None:
             self.request = HttpRequest()
 
@@ -153,16 +165,16 @@
 
     def resume(self) -> None:
         """Parse input that was kept, as far as there is room for requests."""
-        if self._is_parsing:
+        if self.is_parsing or not self._unparsed:
             return
-        self._is_parsing = True
+        self.is_parsing = True
         try:
             while self._unparsed and self._sink.takes_requests:
                 self._parse_slice(self._next_slice())
                 if self._sink.ignores_requests:
                     self.discard()
         finally:
-            self._is_parsing = False
+            self.is_parsing = False
 
     def _next_slice(self) -> bytes:
         size = SLICE_BYTES
@@ -177,23 +189,27 @@
 
     def _parse_slice(self, data: bytes) -> None:
         """Parse a part of the input; reject a malformed or overlong request."""
-        self._overhead.add_received(len(data))
+        overhead, body_bytes = self._overhead, len(self._body)
+        overhead.add_received(len(data))
         if self.reading_head:
             self._raw_head_bytes += len(data)
         try:
             self._parse(data)
-            self._overhead.check()
+            if overhead is self._overhead:
+                # The same request goes on.
+                overhead.add_body(max(0, len(self._body) - body_bytes))
+                overhead.check()
         except httptools.HttpParserError:
             self._sink.reject(400, "bad_request")
         except MessageTooLongError:
             self._sink.reject(431, "headers_too_large")
-        if self.reading_head and self._raw_head_bytes > self._max_raw_head_bytes:
-            self._sink.reject(431, "headers_too_large")
+        if self.reading_head and self._raw_head_bytes > MIN_RAW_HEAD_BYTES:
+            self._check_raw_head()
 
-    @property
-    def _max_raw_head_bytes(self) -> int:
+    def _check_raw_head(self) -> None:
         max_head_bytes = self._sink.caller_limits.max_header_bytes
-        return max(MIN_RAW_HEAD_BYTES, HEAD_SIZE_MARGIN * max_head_bytes)
+        if self._raw_head_bytes > HEAD_SIZE_MARGIN * max_head_bytes:
+            self._sink.reject(431, "headers_too_large")
 
     def _parse(self, data: bytes) -> None:
         while True:
@@ -213,36 +229,31 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        if self._sink.ignores_requests:
-            return
         self.request = HttpRequest()
         self._body = bytearray()
         self._content_length = 0
-        self._head_bytes = self._head_objects_bytes = 0
+        self._head_bytes = 0
+        self._max_head_bytes = self._sink.caller_limits.max_header_bytes
         self.reading_head = True
         self._sink.request_begun()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        if self._sink.ignores_requests:
+        self._head_bytes += len(url)
+        if self._head_bytes > self._max_head_bytes:
+            self._sink.reject(431, "headers_too_large")
             return
         self.request.target += url
-        self._head_objects_bytes += len(url)
-        self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailer fields are discarded (RFC 9110, section 6.5.1)."""
-        if not self.reading_head or self._sink.ignores_requests:
+        if not self.reading_head:
             return
-        self.request.headers.append((name.lower(), value))
-        self._head_objects_bytes += head_field_bytes(name, value)
-        self._count_head_bytes(len(name) + len(value) + 4)
-
-    def _count_head_bytes(self, size: int) -> None:
-        """Reject a head that is too large while it is being read."""
-        self._head_bytes += size
-        if self._head_bytes > self._sink.caller_limits.max_header_bytes:
+        self._head_bytes += len(name) + len(value) + LINE_BYTES
+        if self._head_bytes > self._max_head_bytes:
             self._sink.reject(431, "headers_too_large")
+            return
+        self.request.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Validate the request head before its body is read."""
@@ -259,6 +270,7 @@
             self._sink.reject(400, "bad_request")
             return
         self._content_length = _content_length(request)
+        self._max_body_bytes = limits.max_body_bytes
         if self._content_length > limits.max_body_bytes:
             self._sink.reject(413, "body_too_large")
         elif request.header(b"expect").lower() == b"100-continue":
@@ -266,11 +278,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; reject one that is too large."""
-        self._overhead.add_body(len(body))
-        if self._sink.ignores_requests:
-            return
+        # Called for each chunk, of which a body has two million if they have two bytes.
         self._body += body
-        if len(self._body) > self._sink.caller_limits.max_body_bytes:
+        if len(self._body) > self._max_body_bytes:
             self._sink.reject(413, "body_too_large")
 
     def on_message_complete(self) -> None:
@@ -283,12 +293,13 @@
         if len(self._body) < self._content_length:
             self._sink.reject(400, "bad_request")
             return
-        request, self.request = self.request, None
+        request = self.request
+        request.body = bytes(self._body)
+        request.held_bytes = self._head_held_bytes + len(self._body)
+        self.request = None
         self._overhead = self._create_meter()
         self.reading_head = True
         self._raw_head_bytes = 0
-        request.body = bytes(self._body)
-        request.held_bytes = REQUEST_BYTES + self._head_objects_bytes + len(self._body)
         self._body = bytearray()
         self._sink.request_received(request)
 
--- a/cranberrysail/router/memoryaccount.py
+++ b/cranberrysail/router/memoryaccount.py
@@ -1,7 +1,7 @@
 """The memory that a process holds for its connections, and who yields if it is short.
 
 What is charged is an estimate of what the process really takes: objects besides bytes.
-The decisions use no clock and do no I/O; whoever holds memory releases it.
+The decisions are given the time and do no I/O; whoever holds memory releases it.
 """
 
 from collections.abc import Callable
@@ -10,16 +10,17 @@
 
 __all__ = [
     "CONNECTION_BYTES",
-    "DEFAULT_MEMORY_MB",
+    "HEADER_OBJECT_BYTES",
     "HoldingKind",
     "MemoryAccount",
     "MemoryHolding",
     "budget_bytes",
-    "head_field_bytes",
 ]
 
 # Memory assumed for a process if the settings give none: the smallest hosts have that.
 DEFAULT_MEMORY_MB = 200.0
+# Larger figures, infinite ones too, are taken for mistakes.
+MAX_MEMORY_MB = 1e9
 # Fraction of the process's memory that connections may hold. The interpreter, the
 # code and the tables of a large fleet take about 60 MB of the 200 MB of the smallest
 # hosts, and memory that was freed in pieces is not all returned to the system.
@@ -30,12 +31,21 @@
 # The rest of the budget remains for complete requests and their responses.
 INCOMING_HIGH_FRACTION = 0.75
 INCOMING_LOW_FRACTION = 0.6
-
-# An idle connection: transport, protocol, parser and socket. Measured: 5.2 KB.
-CONNECTION_BYTES = 6 * 1024
-# One header: its tuple, its place in the list and two objects of bytes, which are
-# allocated in steps of 16 bytes. Measured for names and values of 2 to 4 bytes: 170.
-HEADER_OBJECT_BYTES = 176
+# Fraction above which calls yield whose callers do not read, and up to which requests
+# that hold much are taken on. Small requests have the rest, so that neither keeps them
+# out.
+RESERVED_FROM_FRACTION = 0.9
+# Largest request that may use the rest.
+MAX_SMALL_REQUEST_BYTES = 64 * 1024
+# Multiple of the budget above which calls in progress yield. New calls are refused at
+# the budget, but those in progress may still grow, and connections are added.
+RUNNING_FRACTION = 1.25
+
+# An idle connection: transport, protocol, parser and socket. 500 took 11.3 KB each.
+CONNECTION_BYTES = 12 * 1024
+# One header besides its bytes: its tuple, its place in the list and two objects. Each
+# of 1,400 different short ones took 136, without what the allocator rounds up.
+HEADER_OBJECT_BYTES = 160
 
 
 def budget_bytes(memory_mb: float) -> int:
@@ -44,13 +54,9 @@
     Args:
       memory_mb: Memory of the process in MB; 0 if it is not known.
     """
-    memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024
-    return max(MIN_BUDGET_BYTES, int(BUDGET_FRACTION * memory_bytes))
-
-
-def head_field_bytes(name: bytes, value: bytes) -> int:
-    """Return the memory that one header takes."""
-    return HEADER_OBJECT_BYTES + len(name) + len(value)
+    if not 0 < memory_mb < MAX_MEMORY_MB:
+        memory_mb = DEFAULT_MEMORY_MB
+    return max(MIN_BUDGET_BYTES, int(BUDGET_FRACTION * memory_mb * 1024 * 1024))
 
 
 class HoldingKind(StrEnum):
@@ -94,14 +100,35 @@
     Attributes:
       budget: Most that they are to hold, in bytes.
       used: What they hold now.
+      calm_bytes: What they may hold before anybody yields.
     """
 
     budget: int = field(default_factory=lambda: budget_bytes(0))
     used: int = 0
+    calm_bytes: int = field(init=False, default=0)
     _holdings: dict[HoldingKind, set[MemoryHolding]] = field(
         default_factory=lambda: {kind: set() for kind in HoldingKind}
     )
 
+    def __post_init__(self) -> None:
+        self.set_budget(self.budget)
+
+    def set_budget(self, budget: int) -> None:
+        """Apply a changed budget."""
+        self.budget = budget
+        self.calm_bytes = int(INCOMING_HIGH_FRACTION * budget)
+
+    def adjust(self, holding: MemoryHolding, held_bytes: int) -> bool:
+        """Change what a holding holds, and return whether anybody may have to yield.
+
+        Args:
+          holding: A holding that holds something.
+          held_bytes: What it holds now; not 0.
+        """
+        self.used += held_bytes - holding.held_bytes
+        holding.held_bytes = held_bytes
+        return self.used > self.calm_bytes
+
     def charge(self, holding: MemoryHolding, held_bytes: int, now: float) -> None:
         """Set what a holding holds.
 
@@ -134,21 +161,28 @@
         Args:
           new_bytes: What it will hold besides what is held for it already.
         """
-        return self.used + new_bytes <= self.budget
+        room = self.budget
+        if new_bytes > MAX_SMALL_REQUEST_BYTES:
+            room *= RESERVED_FROM_FRACTION
+        return self.used + new_bytes <= room
 
     @property
     def is_short(self) -> bool:
         """Return whether anybody has to yield."""
-        if self.used > self.budget:
+        if self.used <= self.calm_bytes:
+            return False
+        if self._holdings[HoldingKind.INCOMING]:
             return True
-        incoming = self._holdings[HoldingKind.INCOMING]
-        return bool(incoming) and self.used > INCOMING_HIGH_FRACTION * self.budget
+        if self._holdings[HoldingKind.UNREAD]:
+            return self.used > RESERVED_FROM_FRACTION * self.budget
+        return self.used > RUNNING_FRACTION * self.budget
 
     def next_to_yield(self, now: float) -> list[MemoryHolding]:
         """Return the holdings that yield now, in order; empty if memory suffices.
 
         Incomplete requests yield until the account is clearly below its budget, so
-        that this is rarely computed. Calls yield only above the budget.
+        that this is rarely computed. Calls whose callers do not read yield close to
+        the budget, and others only if the account exceeds it by far.
 
         Args:
           now: Current time in seconds.
@@ -157,10 +191,11 @@
             return []
         target = INCOMING_LOW_FRACTION * self.budget
         chosen, left = self._heaviest(HoldingKind.INCOMING, self.used, target, now)
-        for kind in (HoldingKind.UNREAD, HoldingKind.RUNNING):
-            more, left = self._heaviest(kind, left, self.budget, now)
-            chosen += more
-        return chosen
+        target = RESERVED_FROM_FRACTION * self.budget
+        more, left = self._heaviest(HoldingKind.UNREAD, left, target, now)
+        chosen += more
+        most = RUNNING_FRACTION * self.budget
+        return chosen + self._heaviest(HoldingKind.RUNNING, left, most, now)[0]
 
     def _heaviest(
         self, kind: HoldingKind, used: int, target: float, now: float
--- a/cranberrysail/router/resourcelimits.py
+++ b/cranberrysail/router/resourcelimits.py
@@ -60,18 +60,23 @@
 
     def configure(self, memory_mb: float, file_descriptors: int) -> None:
         """Apply changed settings."""
-        self.account.budget = budget_bytes(memory_mb)
+        self.account.set_budget(budget_bytes(memory_mb))
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if 0 < allowed < (file_descriptors or allowed + 1):
-            file_descriptors = allowed
-        self.connections.max_connections = max_accepted(file_descriptors)
+        max_connections = max_accepted(file_descriptors)
+        if allowed != resource.RLIM_INFINITY:
+            max_connections = min(max_connections, max_accepted(allowed))
+        self.connections.max_connections = max_connections
 
     def charge(self, holding: MemoryHolding, held_bytes: int) -> None:
         """Set what a holding holds, and have others yield if memory is short."""
         if holding.held_bytes == held_bytes:
             return
-        self.account.charge(holding, held_bytes, now())
-        if self.account.is_short:
+        if holding.held_bytes and held_bytes:
+            may_be_short = self.account.adjust(holding, held_bytes)
+        else:
+            self.account.charge(holding, held_bytes, now())
+            may_be_short = self.account.used > self.account.calm_bytes
+        if may_be_short and self.account.is_short:
             self.relieve()
 
     def relieve(self) -> None:
--- a/cranberrysail/router/serverconn.py
+++ b/cranberrysail/router/serverconn.py
@@ -35,7 +35,8 @@
 # 10 ms; the kernel takes up to twice as much for them.
 KERNEL_BUFFER_BYTES = 128 * 1024
 FULL_KERNEL_BUFFER_BYTES = 2 * KERNEL_BUFFER_BYTES
-# Objects of a call besides its request: task, call and timers. Measured: about 8 KB.
+# Objects of a call besides its request: task, call, timers and the connection to the
+# endpoint. An estimate; the task and a bare handler take 1.6 KB.
 CALL_BYTES = 8 * 1024
 # How long the rest of a rejected request is received and discarded before its
 # connection closes.
@@ -184,6 +185,17 @@
     def data_received(self, data: bytes) -> None:
         """Parse request bytes."""
         self._receiver.feed(data)
+        self._update_incoming()
+
+    def _update_incoming(self) -> None:
+        """Pause or resume reading, and charge what was received."""
+        if (
+            self._receiver.is_empty
+            and not self._queue
+            and not self._incoming.held_bytes
+        ):
+            # As after most reads: one whole request, which is being handled.
+            return
         self._pause_or_resume_reading()
         self._charge_incoming()
 
@@ -205,18 +217,14 @@
             self.resources.charge(self._incoming, held_bytes)
 
     def _charge_served(self) -> None:
-        if self._served_is_shed:
+        if self._closing and not self._served.held_bytes:
+            # The connection ends at once, and its memory with it.
             return
         held_bytes = CONNECTION_BYTES + self._request_bytes + self._unsent_request_bytes
         if not self._response.is_writable:
             held_bytes += FULL_KERNEL_BUFFER_BYTES + self._response.unsent_bytes
         self.resources.charge(self._served, held_bytes)
 
-    @property
-    def _served_is_shed(self) -> bool:
-        """Return whether the connection ends at once, and its memory with it."""
-        return self._closing and not self._served.held_bytes
-
     def _set_served_kind(self, kind: HoldingKind) -> None:
         self.resources.account.set_kind(self._served, kind, now())
 
@@ -256,21 +264,25 @@
 
     def _start_next(self) -> None:
         """Handle the next request; go on with the input that waited for its place."""
+        if not self._queue:
+            return
         started = False
         while self._can_start:
             started = True
             request = self._queue.popleft()
             self._queued_bytes -= request.held_bytes
             # An endpoint that does not read leaves a copy of the body here.
-            if self.resources.account.has_room(request.held_bytes + len(request.body)):
+            new_bytes = CALL_BYTES + request.held_bytes + len(request.body)
+            if self.resources.account.has_room(new_bytes):
                 self._start(request)
             else:
                 self._refuse(request)
             self._receiver.resume()
-        if started and not self._closing:
-            self._pause_or_resume_reading()
-            self._charge_incoming()
-        if started and self._handler_task is None:
+        if not started:
+            return
+        if not self._closing and not self._receiver.is_parsing:
+            self._update_incoming()
+        if self._handler_task is None:
             self._end_if_nothing_follows()
 
     def _end_if_nothing_follows(self) -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -106,3 +106,16 @@
         "[bounds]", "[bounds]\nexposure_share = 0.2\nrollback_ms = 4000"
     )
     assert parse(text, "test").rollout == RolloutBound(0.2, 50.0, 4.0)
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ("", (0.0, 0)),
+        ("memory_mb = 427\nfile_descriptors = 8192", (427.0, 8192)),
+        ("memory_mb = 200.5\nfile_descriptors = 4100.0", (200.5, 4100)),
+    ],
+)
+def test_limits_of_the_process_are_optional(lines, expected):
+    cfg = parse(TEXT.replace("link_mbps = 1000.0", lines), "test")
+    assert (cfg.memory_mb, cfg.file_descriptors) == expected
