--- a/cranberrysail/router/allocation.py
+++ b/cranberrysail/router/allocation.py
@@ -193,10 +193,16 @@
     ) -> Turn:
         excess = self.shares.excess(call.service, call.customer, now)
         load = pressure.calls_per_slot
-        fraction = refused_fraction(load, excess, call.priority)
-        if draw >= fraction:
+        service_time_s = self.service_times.get(call.service)
+
+        def fraction(excess: float) -> float:
+            return refused_fraction(
+                load, pressure.report_age_s, service_time_s, excess, call.priority
+            )
+
+        if draw >= fraction(excess):
             return Turn(None, TurnLimit.FREE, excess=excess, calls_per_slot=load)
-        over_share = draw >= refused_fraction(load, 1.0, call.priority)
+        over_share = draw >= fraction(1.0)
         return Turn(
             RefusalReason.OVER_SHARE if over_share else RefusalReason.PRESSED,
             TurnLimit.SHARE if over_share else TurnLimit.PRESSURE,
--- a/cranberrysail/router/plainlimits.py
+++ b/cranberrysail/router/plainlimits.py
@@ -4,24 +4,35 @@
 a full queue is late. Routers know their own open calls and reports that are several
 service times old, and in a large fleet one router has less than one open call at an
 endpoint, so none of them could keep to a number of calls. Each refuses instead a
-fraction of its calls that grows in proportion to the load it knows of, from a small
-queue to a full one. All routers together then settle at the queue at which what is
-sent is what the service finishes. The fraction is larger for customers above their
-share and smaller for urgent calls. A steep rule would oscillate, as loads are known
-late: with 88 calls a second at each endpoint and reports 0.4 s old, a range of 22
-calls is the shortest that is stable (delay times gain below half of pi).
+fraction of its calls that grows in proportion to the load it knows of, from some queue
+to a full one. All routers together then settle at the queue at which what is sent is
+what the service finishes.
+
+The older the reports are, the earlier the fraction must begin to grow: a control loop
+with a delay is stable only if delay times gain is below half of pi. Where reports are
+new, calls may queue for longer first. The fraction is larger, and begins to grow
+earlier, for customers above their share; it is smaller for urgent calls.
 """
 
+import math
+
 __all__ = ["refused_fraction", "retry_pause_s"]
 
-# Open calls per slot from which calls are refused. A queue of half the slots takes
-# 30 to 45 ms to drain.
-PRESSED_CALLS_PER_SLOT = 1.5
 # Open calls per slot at which endpoints turn calls away: 6 slots and a queue of 24.
 FULL_CALLS_PER_SLOT = 5.0
+# Least and most open calls per slot from which calls are refused. The first is a queue
+# of half the slots, which takes 30 to 45 ms to drain. At the second, a call of 75 ms
+# is delivered after about 0.24 s, in time for a target of 0.3 s.
+MIN_PRESSED_CALLS_PER_SLOT = 1.5
+MAX_PRESSED_CALLS_PER_SLOT = 3.25
+# Margin of the range over which the fraction grows, as the delay of the loop is longer
+# than the mean age of the reports by the time that a call takes.
+STABILITY_MARGIN = 1.6
 # Limits on the factor for a customer that is below or above its share.
 MIN_SHARE_FACTOR = 0.3
 MAX_SHARE_FACTOR = 6.0
+# Excess from which calls are refused as soon as a service is pressed at all.
+FULL_EXCESS = 2.0
 # Factor for calls of priority 0, and the priority from which the factor is 1.
 URGENT_FACTOR = 0.5
 NORMAL_PRIORITY = 2
@@ -31,16 +42,39 @@
 MIN_REMAINING_SERVICE_TIMES = 2.0
 
 
-def refused_fraction(calls_per_slot: float, excess: float, priority: int) -> float:
+def pressed_from(report_age_s: float, service_time_s: float, excess: float) -> float:
+    """Return the open calls per slot from which calls of a customer are refused.
+
+    Args:
+      report_age_s: Age of the load reports.
+      service_time_s: Time that work takes at an endpoint.
+      excess: The customer's recent use relative to its share.
+    """
+    stable_range = STABILITY_MARGIN * report_age_s / service_time_s * 2.0 / math.pi
+    start = min(MAX_PRESSED_CALLS_PER_SLOT, FULL_CALLS_PER_SLOT - stable_range)
+    over = min(1.0, max(0.0, (excess - 1.0) / (FULL_EXCESS - 1.0)))
+    start -= over * (start - MIN_PRESSED_CALLS_PER_SLOT)
+    return max(MIN_PRESSED_CALLS_PER_SLOT, start)
+
+
+def refused_fraction(
+    calls_per_slot: float,
+    report_age_s: float,
+    service_time_s: float,
+    excess: float,
+    priority: int,
+) -> float:
     """Return the fraction of calls of a kind and customer that are refused.
 
     Args:
       calls_per_slot: Open calls of all routers relative to the slots.
+      report_age_s: Age of the load reports.
+      service_time_s: Time that work takes at an endpoint.
       excess: The customer's recent use relative to its share.
       priority: Priority of the call; 0 is the most urgent.
     """
-    ramp = FULL_CALLS_PER_SLOT - PRESSED_CALLS_PER_SLOT
-    base = (calls_per_slot - PRESSED_CALLS_PER_SLOT) / ramp
+    start = pressed_from(report_age_s, service_time_s, excess)
+    base = (calls_per_slot - start) / (FULL_CALLS_PER_SLOT - start)
     if base <= 0:
         return 0.0
     share_factor = min(MAX_SHARE_FACTOR, max(MIN_SHARE_FACTOR, excess * excess))
--- a/cranberrysail/router/servicepressure.py
+++ b/cranberrysail/router/servicepressure.py
@@ -4,10 +4,14 @@
 from dataclasses import dataclass
 
 from cranberrysail.router.endpoints import Endpoint
-from cranberrysail.router.load import LoadTracker
+from cranberrysail.router.load import REPORT_MAX_AGE_S, LoadTracker
 
 __all__ = ["ServicePressure", "measure_pressure"]
 
+# Age of load reports that is assumed before there are any: routers of a large fleet
+# exchange them every 0.3 s, and have them 0.3 to 0.5 s after the endpoint.
+ASSUMED_REPORT_AGE_S = 0.4
+
 
 @dataclass(frozen=True, slots=True)
 class ServicePressure:
@@ -18,12 +22,14 @@
       slots: Calls that they process concurrently.
       load: Expected number of open calls at them.
       free_slots: Expected number of slots without a call.
+      report_age_s: Mean age of the endpoints' last load reports.
     """
 
     endpoints: int = 0
     slots: int = 0
     load: float = 0.0
     free_slots: float = 0.0
+    report_age_s: float = ASSUMED_REPORT_AGE_S
 
     @property
     def calls_per_slot(self) -> float:
@@ -55,4 +61,10 @@
     calls = [e.open_calls + n for e, n in zip(taking, others, strict=True)]
     slots = [max(1, endpoint.record.slots) for endpoint in taking]
     free = sum(max(0.0, s - n) for s, n in zip(slots, calls, strict=True))
-    return ServicePressure(len(taking), sum(slots), sum(calls), free)
+    ages_s = [
+        now - stats.reported_s
+        for stats in map(loads.stats, taking)
+        if now - stats.reported_s <= REPORT_MAX_AGE_S
+    ]
+    age_s = sum(ages_s) / len(ages_s) if ages_s else ASSUMED_REPORT_AGE_S
+    return ServicePressure(len(taking), sum(slots), sum(calls), free, age_s)
