--- a/cranberrysail/router/allocation.py
+++ b/cranberrysail/router/allocation.py
@@ -167,8 +167,7 @@
             return Turn(None, TurnLimit.FREE)
         if not call.has_engines:
             return self._decide_plain(call, pressure, draw, now)
-        free_slots = self.free_slots(call.service, pressure)
-        if free_slots >= 1.0 and not self.room.waiting(call.service):
+        if pressure.free_slots >= 1.0 and not self.room.waiting(call.service):
             return Turn(None, TurnLimit.FREE, calls_per_slot=pressure.calls_per_slot)
         max_wait_s = self.max_wait_s(call, now)
         if max_wait_s <= 0 and call.priority <= MOST_URGENT:
@@ -217,17 +216,6 @@
             calls_per_slot=load,
         )
 
-    def free_slots(self, service: str, pressure: ServicePressure) -> float:
-        """Return the slots that are taken to be free.
-
-        Besides those without a call by the last reports, they are those that will have
-        been left by calls since. Otherwise engines would be idle for the age of the
-        reports. The queue that this allows at engines is ordered by priority.
-        """
-        left = pressure.report_age_s / self.service_times.get(service)
-        allowed = pressure.slots * (1.0 + min(1.0, left)) - pressure.load
-        return max(pressure.free_slots, allowed)
-
     def max_wait_s(self, call: CallFacts, now: float) -> float:
         """Return how long a call may wait in the router.
 
@@ -259,8 +247,7 @@
         """Return the expected wait of a call, behind those that are before it."""
         ahead = self.room.ahead_of(call)
         rate = self.rate_of_router(call.service, pressure, routers)
-        free_slots = self.free_slots(call.service, pressure)
-        own_queue_s = max(0.0, ahead + 1 - free_slots) / rate
+        own_queue_s = max(0.0, ahead + 1 - pressure.free_slots) / rate
         drain_s = self.drain_s(call.service, pressure)
         part = self.part_before(call.service, call.priority)
         return max(drain_s * part, own_queue_s)
@@ -289,10 +276,9 @@
         """
         refused = self.room.enter(call)
         rate = self.rate_of_router(call.service, pressure, routers)
-        free_slots = self.free_slots(call.service, pressure)
         queue = list(self.room.waiting(call.service))
         for position, other in enumerate(queue, 1):
-            wait_s = max(0.0, position - free_slots) / rate
+            wait_s = max(0.0, position - pressure.free_slots) / rate
             if other.priority <= MOST_URGENT or other.order <= call.order:
                 continue
             if call.entered_s + wait_s > other.limit_s:
@@ -310,7 +296,7 @@
           pressure: Pressure on it.
           freed: Slots that calls of this router have left just now.
         """
-        free_slots = max(freed, int(self.free_slots(service, pressure)))
+        free_slots = max(freed, int(pressure.free_slots))
         ready = self.room.waiting(service)[:free_slots]
         for call in ready:
             self.room.leave(call)
