--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -155,6 +155,7 @@
                     await self._run(call)
                 finally:
                     self._timeouts.discard(timeout)
+                    self.order.call_ended(call)
         except TimeoutError:
             self._responder.deadline_exceeded(call, self._stop_at_s < call.deadline_s)
         except CallerDisconnectedError:
@@ -260,7 +261,7 @@
             call.service,
             call.head.prompt_parts,
             call.tried,
-            call.remaining_s,
+            self.order.patience_s(call),
             now(),
             call.work,
         )
