--- a/cranberrysail/platform/settings.py
+++ b/cranberrysail/platform/settings.py
@@ -1,8 +1,6 @@
 """The settings file that the platform passes to each process."""
 
-import os
 import tomllib
-from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -150,25 +148,5 @@
 class NodeFileSettings(SettingsFile):
     """Settings that are loaded from the platform's settings file."""
 
-    def __init__(self, path: str) -> None:
-        """Create a loader.
-
-        Args:
-          path: Path of the settings file.
-        """
-        super().__init__(path, parse)
-
-    @classmethod
-    def from_environment(cls) -> "NodeFileSettings":
-        """Return a loader for the file given in the environment.
-
-        Raises:
-          ConfigError: If the environment variable is not set.
-        """
-        path = os.environ.get(SETTINGS_VARIABLE)
-        if path is None:
-            problem = (
-                f"{SETTINGS_VARIABLE} is not set; run this command on the platform"
-            )
-            raise ConfigError("environment", [problem])
-        return cls(path)
+    variable = SETTINGS_VARIABLE
+    parse = staticmethod(parse)
--- a/cranberrysail/router/settingsfile.py
+++ b/cranberrysail/router/settingsfile.py
@@ -1,8 +1,10 @@
 """Settings in a file that may change while the router runs."""
 
+import os
 import time
-from collections.abc import Callable
+from abc import abstractmethod
 from pathlib import Path
+from typing import ClassVar, Self
 
 from cranberrysail.errors import ConfigError
 from cranberrysail.router.config import BaseSettingsSource, RouterConfig
@@ -16,19 +18,45 @@
 
 
 class SettingsFile(BaseSettingsSource):
-    """Settings that are loaded from a file."""
+    """Settings that are loaded from a file.
 
-    def __init__(self, path: str, parse: Callable[[str, str], RouterConfig]) -> None:
+    Attributes:
+      variable: Environment variable that holds the path of the file.
+    """
+
+    variable: ClassVar[str]
+
+    def __init__(self, path: str) -> None:
         """Create a loader.
 
         Args:
           path: Path of the file.
-          parse: Returns the settings, given the content and the name of the file.
         """
         self._path = Path(path)
-        self._parse = parse
         self._loaded_mtime_and_size: tuple[int, int] | None = None
 
+    @classmethod
+    def from_environment(cls) -> Self:
+        """Return a loader for the file given in the environment.
+
+        Raises:
+          ConfigError: If the environment variable is not set.
+        """
+        path = os.environ.get(cls.variable)
+        if path is None:
+            problem = f"{cls.variable} is not set; run this command on the platform"
+            raise ConfigError("environment", [problem])
+        return cls(path)
+
+    @staticmethod
+    @abstractmethod
+    def parse(text: str, source: str) -> RouterConfig:
+        """Return the settings, given the content and the name of the file.
+
+        Raises:
+          ConfigError: If the content is not valid.
+        """
+
     def _read_mtime_and_size(self) -> tuple[int, int] | None:
         try:
             stat = self._path.stat()
@@ -56,7 +84,7 @@
         except (OSError, UnicodeDecodeError) as exc:
             problem = f"cannot be read ({exc}); check the path"
             raise ConfigError(source, [problem]) from exc
-        return self._parse(text, source)
+        return self.parse(text, source)
 
     def load_at_start(self) -> RouterConfig:
         """Return the settings, after a short wait if they are not valid yet.
