--- a/cranberrysail/router/memoryaccount.py
+++ b/cranberrysail/router/memoryaccount.py
@@ -41,7 +41,7 @@
 # the budget, but those in progress may still grow, and connections are added.
 RUNNING_FRACTION = 1.25
 
-# An idle connection: transport, protocol, parser and socket. 500 took 11.3 KB each.
+# An idle connection: transport, protocol and parser. 500 took 11.3 KB each.
 CONNECTION_BYTES = 12 * 1024
 # One header besides its bytes: its tuple, its place in the list and two objects. Each
 # of 1,400 different short ones took 136, without what the allocator rounds up.
