--- a/cranberrysail/router/resourcelimits.py
+++ b/cranberrysail/router/resourcelimits.py
@@ -3,6 +3,7 @@
 import resource
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from enum import StrEnum
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.connectionlimit import ConnectionLimit, max_accepted
@@ -19,8 +20,16 @@
 ShedReporter = Callable[[str, str, str, int], None]
 
 
-class ShedReason:
-    """Why a connection was closed or a request refused, in log lines and metrics."""
+class ShedReason(StrEnum):
+    """Why a connection was closed or a request refused, in log lines and metrics.
+
+    Others are ``memory_`` with the kind of what was held.
+
+    Attributes:
+      DESCRIPTORS: There were too many connections.
+      REFUSED: There was no room in memory for a new request.
+      STUCK: The client read nothing of its response for the idle timeout.
+    """
 
     DESCRIPTORS = "descriptors"
     REFUSED = "memory_refused"
