Uploads are charged once when their call begins; responses being read are not cut

A complete body was charged to the incoming request and to the call at the same time, so that between 52 and 54 MB of 80 held, its own connection yielded without a response. A connection was taken for one without a request as soon as its response was in the buffer, and could be closed above the limit while the caller read it. Both tests failed before. Idle connections could hold three quarters of the budget, so that all uploads yielded; accepted connections are limited to what a quarter of it carries.

--- a/cranberrysail/router/connectionlimit.py
+++ b/cranberrysail/router/connectionlimit.py
@@ -72,6 +72,7 @@
     def request_ended(self, conn: Hashable) -> None:
         """Note that a connection has no complete request any more."""
         if conn in self._open:
+            # One that is there already keeps its place.
             self._incomplete[conn] = None
 
     def discard(self, conn: Hashable) -> None:
--- a/cranberrysail/router/resourcelimits.py
+++ b/cranberrysail/router/resourcelimits.py
@@ -8,6 +8,7 @@
 from cranberrysail.router.clock import now
 from cranberrysail.router.connectionlimit import ConnectionLimit, max_accepted
 from cranberrysail.router.memoryaccount import (
+    CONNECTION_BYTES,
     HoldingKind,
     MemoryAccount,
     MemoryHolding,
@@ -16,6 +17,9 @@
 
 __all__ = ["ResourceLimits", "ShedReason", "ShedReporter"]
 
+# Fraction of the budget that all accepted connections may hold if they are idle. More
+# would have uploads yield although nobody sends anything unusual.
+IDLE_FRACTION = 0.25
 # Is told the listener, the address of the client, why it was shed, and the bytes held.
 ShedReporter = Callable[[str, str, str, int], None]
 
@@ -71,7 +75,10 @@
         """Apply changed settings."""
         self.account.set_budget(budget_bytes(memory_mb))
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        max_connections = max_accepted(file_descriptors)
+        max_connections = min(
+            max_accepted(file_descriptors),
+            int(IDLE_FRACTION * self.account.budget) // CONNECTION_BYTES,
+        )
         if allowed != resource.RLIM_INFINITY:
             max_connections = min(max_connections, max_accepted(allowed))
         self.connections.max_connections = max_connections
--- a/cranberrysail/router/serverconn.py
+++ b/cranberrysail/router/serverconn.py
@@ -271,6 +271,9 @@
             started = True
             request = self._queue.popleft()
             self._queued_bytes -= request.held_bytes
+            if self._incoming.held_bytes:
+                # The request is charged once, to what is served from now on.
+                self._charge_incoming()
             # An endpoint that does not read leaves a copy of the body here.
             new_bytes = CALL_BYTES + request.held_bytes + len(request.body)
             if self.resources.account.has_room(new_bytes):
@@ -320,7 +323,8 @@
     def _on_handler_done(self, task: asyncio.Task) -> None:
         self._handler_task = None
         self._timeout_start_s = now()
-        self.resources.connections.request_ended(self)
+        if not self._response.unsent_bytes:
+            self.resources.connections.request_ended(self)
         self._request_bytes = self._unsent_request_bytes = 0
         self._charge_served()
         failed = not task.cancelled() and task.exception() is not None
@@ -433,6 +437,9 @@
         """Close an idle connection, or reject a request that arrives too slowly."""
         if self._handler_task is not None:
             return
+        if self._response.unsent_bytes in (0, self._unsent_at_check):
+            # The response was sent, or is not read.
+            self.resources.connections.request_ended(self)
         if self._closing or not self._response.is_writable:
             self._abort_if_stuck()
             return
--- a/tests/router/test_resourcelimits.py
+++ b/tests/router/test_resourcelimits.py
@@ -282,3 +282,42 @@
     shed = asyncio.run(main())
     assert shed.reasons == ["unread_timeout"]
     assert shed.resources.account.used == 0
+
+
+@pytest.mark.parametrize("held_mb", [50, 52, 54, 56, 58, 60, 70, 79])
+def test_complete_upload_always_gets_a_response(held_mb):
+    """Guards against a body that is charged twice when its call begins."""
+
+    async def main():
+        shed = Shed()
+        listener, port, _ = await start(shed.resources)
+        with shed.resources.hold(held_mb * 1024 * 1024, lambda: None):
+            head = await request(port, large_body())
+        listener.stop_listening()
+        return head
+
+    assert asyncio.run(main())[:12] in (b"HTTP/1.1 200", b"HTTP/1.1 503")
+
+
+def test_response_that_is_being_read_is_not_cut_above_the_connection_limit():
+    """Guards against taking a connection for idle while its response is unsent."""
+
+    async def main():
+        async def handle(request, conn):
+            conn.send_response(200, [], bytes(8_000_000))
+
+        shed = Shed()
+        shed.resources.connections.max_connections = 3
+        listener, port, _ = await start(shed.resources, handle)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET)
+        data = await reader.read(1000)
+        others = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+        while len(data) < 8_000_000 and (more := await reader.read(65536)):
+            data += more
+        for _, other in [(reader, writer), *others]:
+            other.transport.abort()
+        listener.stop_listening()
+        return len(data)
+
+    assert asyncio.run(main()) > 8_000_000
