--- a/cranberrysail/router/resourcelimits.py
+++ b/cranberrysail/router/resourcelimits.py
@@ -3,10 +3,12 @@
 import resource
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from enum import StrEnum
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.connectionlimit import ConnectionLimit, max_accepted
 from cranberrysail.router.memoryaccount import (
+    CONNECTION_BYTES,
     HoldingKind,
     MemoryAccount,
     MemoryHolding,
@@ -15,12 +17,23 @@
 
 __all__ = ["ResourceLimits", "ShedReason", "ShedReporter"]
 
+# Fraction of the budget that all accepted connections may hold if they are idle. More
+# would have uploads yield although nobody sends anything unusual.
+IDLE_FRACTION = 0.25
 # Is told the listener, the address of the client, why it was shed, and the bytes held.
 ShedReporter = Callable[[str, str, str, int], None]
 
 
-class ShedReason:
-    """Why a connection was closed or a request refused, in log lines and metrics."""
+class ShedReason(StrEnum):
+    """Why a connection was closed or a request refused, in log lines and metrics.
+
+    Others are ``memory_`` with the kind of what was held.
+
+    Attributes:
+      DESCRIPTORS: There were too many connections.
+      REFUSED: There was no room in memory for a new request.
+      STUCK: The client read nothing of its response for the idle timeout.
+    """
 
     DESCRIPTORS = "descriptors"
     REFUSED = "memory_refused"
@@ -62,7 +75,10 @@
         """Apply changed settings."""
         self.account.set_budget(budget_bytes(memory_mb))
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        max_connections = max_accepted(file_descriptors)
+        max_connections = min(
+            max_accepted(file_descriptors),
+            int(IDLE_FRACTION * self.account.budget) // CONNECTION_BYTES,
+        )
         if allowed != resource.RLIM_INFINITY:
             max_connections = min(max_connections, max_accepted(allowed))
         self.connections.max_connections = max_connections
