--- a/cranberrysail/router/placement.py
+++ b/cranberrysail/router/placement.py
@@ -76,7 +76,7 @@
     large_fleet_full: int = 50
     cross_zone_calls: float = 0.5
     weighs_work: bool = False
-    due_share: float = 0.7
+    due_share: float = 0.85
     due_candidates: int = 3
     late_gain: float = 0.5
 
--- a/tests/router/test_loadgossip.py
+++ b/tests/router/test_loadgossip.py
@@ -6,7 +6,7 @@
 
 from cranberrysail.router.endpoints import EndpointDirectory
 from cranberrysail.router.load import LoadReport, LoadTracker
-from cranberrysail.router.loadexchange import EXCHANGE_INTERVAL_S
+from cranberrysail.router.loadexchange import EXCHANGE_INTERVAL_S, exchange_interval_s
 from cranberrysail.router.loadgossip import MAX_SENT_AGE_S, LoadGossip, LoadGossipItem
 from cranberrysail.router.model import EndpointRecord
 from cranberrysail.router.peers import RouterDirectory, encode_router_record
@@ -203,3 +203,20 @@
         return other.selector.loads.stats(other.endpoints.get("e0")).reported_calls
 
     assert run_virtual(main) == 8
+
+
+def test_reports_are_not_sent_back_to_the_router_that_passed_them_on():
+    directory, loads, gossip = load_state("e0", "e1")
+    gossip.merge((make_item("e0", 7, 0.1),), 20.0, "r2")
+    loads.record_report(directory.get("e1"), LoadReport(3, 0, 8), 20.0)
+    assert [i.load for i in gossip.known_loads(20.1, 1.0, "r2")] == [2]
+    assert len(gossip.known_loads(20.1, 1.0, "r3")) == 2
+    # A response has brought a report of its own since.
+    loads.record_report(directory.get("e0"), LoadReport(5, 0, 8), 20.2)
+    assert len(gossip.known_loads(20.3, 1.0, "r2")) == 2
+
+
+def test_loads_are_exchanged_more_often_only_where_work_is_weighed():
+    assert exchange_interval_s(False, 16) == EXCHANGE_INTERVAL_S
+    assert exchange_interval_s(True, 16) < EXCHANGE_INTERVAL_S
+    assert exchange_interval_s(True, 100) == EXCHANGE_INTERVAL_S
