--- a/cranberrysail/router/explain.py
+++ b/cranberrysail/router/explain.py
@@ -160,6 +160,32 @@
     )
 
 
+@LINE_FORMATTERS.register("waited")
+def _waited(line: LogLine) -> str:
+    return (
+        f"waited {line.get('waited_ms')} ms in the router for capacity of "
+        f"{line.get('service')} (priority {line.get('priority')}, customer "
+        f"{line.get('customer')} at {line.get('over_share')} of its share); sent by "
+        f"{line.get('limit')}"
+    )
+
+
+@LINE_FORMATTERS.register("not_admitted")
+def _not_admitted(line: LogLine) -> str:
+    return (
+        f"refused as {line.get('why')} after {line.get('waited_ms')} ms, never sent: "
+        f"{line.get('service')} has {line.get('calls_per_slot')} open calls per slot, "
+        f"expected wait {line.get('wait_s')} s, customer {line.get('customer')} at "
+        f"{line.get('over_share')} of its share, priority {line.get('priority')}; "
+        f"decided by {line.get('limit')}"
+    )
+
+
+@LINE_FORMATTERS.register("wait_ended")
+def _wait_ended(line: LogLine) -> str:
+    return f"left the waiting calls unsent after {line.get('waited_ms')} ms"
+
+
 @LINE_FORMATTERS.register("time_over")
 def _time_over(line: LogLine) -> str:
     return (
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,3 +80,9 @@
     assert settings.changed()
     settings.load()
     assert not settings.changed()
+
+
+def test_capacity_is_allocated_only_where_the_contract_says_so():
+    assert not parse(TEXT, "test").admission.allocates
+    text = 'contracts = ["rollout", "pressure"]\n' + TEXT
+    assert parse(text, "test").admission.allocates
