--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -52,12 +52,18 @@
 def test_routing_decisions_use_no_clock_and_no_io():
     decisions = (
         "admission",
+        "allocation",
         "coldlimit",
+        "customershares",
         "endpoints",
         "load",
         "outcome",
         "placement",
+        "plainlimits",
         "retrybudget",
+        "returnschedule",
+        "servicepressure",
+        "waitingroom",
     )
     for name in decisions:
         text = (SOURCES / "router" / f"{name}.py").read_text("utf-8")
