--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -119,3 +119,9 @@
 def test_limits_of_the_process_are_optional(lines, expected):
     cfg = parse(TEXT.replace("link_mbps = 1000.0", lines), "test")
     assert (cfg.memory_mb, cfg.file_descriptors) == expected
+
+
+def test_capacity_is_allocated_only_where_the_contract_says_so():
+    assert not parse(TEXT, "test").admission.allocates
+    text = 'contracts = ["rollout", "pressure"]\n' + TEXT
+    assert parse(text, "test").admission.allocates
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -52,18 +52,27 @@
 def test_routing_decisions_use_no_clock_and_no_io():
     decisions = (
         "admission",
+        "allocation",
         "coldlimit",
         "connectionlimit",
+        "customershares",
         "endpoints",
         "load",
         "memoryaccount",
         "outcome",
         "placement",
+        "plainlimits",
+        "prefillbacklog",
         "responsetimes",
         "retrybudget",
+        "returnschedule",
         "rollout",
         "rolloutevidence",
         "rolloutmodel",
+        "rotation",
+        "servicepressure",
+        "waitingroom",
+        "zonereachability",
     )
     for name in decisions:
         text = (SOURCES / "router" / f"{name}.py").read_text("utf-8")
