Roll-outs: a write whose condition does not hold is a conflict at once (412)

The store responds 412 with its end; this was taken for a failure of the store, and the write was tried again 0.3 s later. Statuses are encoded by a module of the routers, as they are their records; the platform's folder names their keys.

--- a/cranberrysail/platform/records.py
+++ b/cranberrysail/platform/records.py
@@ -9,6 +9,7 @@
     InvalidMessageError,
     MessageDecoder,
     Milliseconds,
+    PositiveSeconds,
     UnsignedInteger,
     check_address,
 )
@@ -23,14 +24,9 @@
     Service,
     TableEntries,
 )
-from cranberrysail.router.rolloutmodel import (
-    Phase,
-    RolloutOrder,
-    RolloutState,
-    RolloutStatus,
-)
+from cranberrysail.router.rolloutmodel import MAX_VERSION_CHARS, RolloutOrder
+from cranberrysail.router.rolloutstatuscodec import BaseStatusCodec
 from cranberrysail.router.routingstate import BaseRecordDecoder
-from cranberrysail.router.storedrollouts import BaseStatusCodec
 
 __all__ = ["PlatformDecoder"]
 
@@ -38,9 +34,6 @@
 EVACUATE_PREFIX = "evacuate/"
 # Keys of orders, and of their statuses.
 ROLLOUT_PREFIX = "rollout/"
-# Longer versions of endpoints, and unprintable ones, are not told apart.
-MAX_VERSION_CHARS = 64
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=1e7)]
 # Routers state versions to each other with so many digits.
 Version = Annotated[int, msgspec.Meta(ge=0, lt=10**MAX_VERSION_DIGITS)]
 CALL_KINDS = {
@@ -181,30 +174,10 @@
     """An order to move the traffic of a service to a version."""
 
     to: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_VERSION_CHARS)]
-    duration_s: Seconds
+    duration_s: PositiveSeconds
     service: str = ""
 
 
-class _Status(msgspec.Struct, omit_defaults=True):
-    """The status of an order.
-
-    Attributes:
-      phase: Part of the state ``running``.
-      started_ms: First read of the order, in milliseconds since the epoch.
-      old: Versions of the other endpoints.
-      reason: Why it was rolled back.
-    """
-
-    state: RolloutState
-    to: str
-    service: str = ""
-    phase: str = ""
-    duration_s: Seconds | None = None
-    started_ms: UnsignedInteger = 0
-    old: list[str] | None = None
-    reason: str = ""
-
-
 class PlatformDecoder(BaseRecordDecoder, BaseStatusCodec):
     """Decodes the records of the platform's store."""
 
@@ -213,7 +186,6 @@
         self._version_decoder = MessageDecoder.json(_ConfigVersion)
         self._declaration_decoder = MessageDecoder.json(_EndpointDeclaration)
         self._order_decoder = MessageDecoder.json(_Order)
-        self._status_decoder = MessageDecoder.json(_Status)
 
     def decode_entries(self, value: bytes) -> TableEntries:
         """Return services and customers of the configuration, with duplicates."""
@@ -300,36 +272,9 @@
         """Return the key of the status of a service."""
         return ROLLOUT_PREFIX + service
 
-    def decode_status(self, key: str, value: bytes) -> RolloutStatus:
-        """Return a decoded status."""
-        status = self._status_decoder.decode(value)
-        phase = Phase.SHIFT if status.phase == Phase.SHIFT else Phase.EXPOSURE
-        return RolloutStatus(
-            key.removeprefix(ROLLOUT_PREFIX),
-            status.to,
-            status.state,
-            phase,
-            status.duration_s,
-            status.started_ms,
-            frozenset(status.old) if status.old is not None else None,
-            status.reason,
-        )
-
-    def encode_status(self, status: RolloutStatus) -> bytes:
-        """Return an encoded status."""
-        old = status.old_versions
-        return msgspec.json.encode(
-            _Status(
-                status.state,
-                status.to,
-                status.service,
-                status.phase.value,
-                status.duration_s,
-                status.started_ms,
-                sorted(old) if old is not None else None,
-                status.reason,
-            )
-        )
+    def service_of_status_key(self, key: str) -> str:
+        """Return the service that the status under a key is for."""
+        return key.removeprefix(ROLLOUT_PREFIX)
 
 
 def _version(value: object) -> str:
--- a/cranberrysail/platform/store.py
+++ b/cranberrysail/platform/store.py
@@ -20,7 +20,6 @@
 from cranberrysail.router.store import (
     BaseStore,
     EraChangedError,
-    OffsetConflictError,
     OffsetOutOfRangeError,
     Page,
     StoreError,
@@ -69,16 +68,6 @@
     first: UnsignedInteger | None = None
 
 
-class _Appended(msgspec.Struct):
-    """The response to a write.
-
-    Attributes:
-      offset: Offset of the record.
-    """
-
-    offset: UnsignedInteger | None = None
-
-
 class _NewestPage(msgspec.Struct):
     """A page of ``log-newest``.
 
@@ -119,7 +108,6 @@
             lambda headers: self.era.observe(decode_era(headers)),
         )
         self._page_decoder = MessageDecoder.json(_NewestPage)
-        self._append_decoder = MessageDecoder.json(_Appended)
         self._gone_decoder = MessageDecoder.json(_Gone)
 
     async def read_snapshot(self, topic: Topic) -> Page:
@@ -212,19 +200,10 @@
     async def append_at(self, topic: Topic, key: str, value: bytes, at: int) -> None:
         """Write a record if the log ends at an offset."""
         query = f"/v1/log-append?topic={TOPIC_NAMES[topic]}&part=0&at={at}"
-        response = await self._http.request(
-            f"append {key}",
-            "POST",
-            query,
-            encode_record(key, value),
-            RESPONSE_TIMEOUT_S,
+        record = encode_record(key, value)
+        await self._http.request(
+            f"append {key}", "POST", query, record, RESPONSE_TIMEOUT_S
         )
-        try:
-            offset = self._append_decoder.decode(response.body).offset
-        except InvalidMessageError as exc:
-            raise StoreError(f"the store's response is invalid ({exc})") from exc
-        if offset not in (None, at):
-            raise OffsetConflictError(f"appended at {offset}, not {at}; read again")
 
     def close(self) -> None:
         """Close all connections."""
--- a/cranberrysail/router/decoding.py
+++ b/cranberrysail/router/decoding.py
@@ -11,6 +11,7 @@
     "InvalidMessageError",
     "MessageDecoder",
     "Milliseconds",
+    "PositiveSeconds",
     "UnsignedInteger",
     "check_address",
 ]
@@ -21,6 +22,8 @@
 UnsignedInteger = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # The limit, some 30,000 years, keeps times that are computed from it finite.
 Milliseconds = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
+# Durations that are waited for, up to some months.
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=1e7)]
 
 T = TypeVar("T")
 
--- a/cranberrysail/router/httpstore.py
+++ b/cranberrysail/router/httpstore.py
@@ -6,7 +6,11 @@
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.httpclient import HttpClientConn, connect
-from cranberrysail.router.store import OffsetOutOfRangeError, StoreError
+from cranberrysail.router.store import (
+    OffsetConflictError,
+    OffsetOutOfRangeError,
+    StoreError,
+)
 
 __all__ = ["HttpStoreClient", "StoreResponse"]
 
@@ -21,6 +25,8 @@
 BODY_TIMEOUT_S = 10.0
 # HTTP status if the requested records have been dropped, or are not cached by a peer.
 STATUS_GONE = 410
+# Status of a write under a condition that does not hold.
+STATUS_PRECONDITION_FAILED = 412
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +81,7 @@
         Raises:
           OffsetOutOfRangeError: If the requested records have been dropped, or are not
             cached by a peer.
+          OffsetConflictError: If the log does not end at the offset that a write named.
           StoreError: If there is no successful response.
         """
         try:
@@ -125,6 +132,10 @@
             raise OffsetOutOfRangeError(
                 "the requested records have been dropped; read a snapshot", body=data
             )
+        if conn.status == STATUS_PRECONDITION_FAILED:
+            raise OffsetConflictError(
+                "another record was appended since the last read; read again"
+            )
         if conn.status != 200:
             raise StoreError(
                 f"{self._address} returned status {conn.status}; try again later"
--- a/cranberrysail/router/rolloutmodel.py
+++ b/cranberrysail/router/rolloutmodel.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "MAX_VERSION_CHARS",
     "Phase",
     "RolloutBound",
     "RolloutOrder",
@@ -11,6 +12,9 @@
     "RolloutStatus",
 ]
 
+# Longer versions of endpoints, and unprintable ones, are not told apart.
+MAX_VERSION_CHARS = 64
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutBound:
--- a/cranberrysail/router/storedrollouts.py
+++ b/cranberrysail/router/storedrollouts.py
@@ -1,7 +1,6 @@
 """Writing of the status of orders to the store, under a condition."""
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from cranberrysail.router.clock import now
@@ -9,6 +8,7 @@
 from cranberrysail.router.decoding import InvalidMessageError
 from cranberrysail.router.rolloutmodel import RolloutStatus
 from cranberrysail.router.rollouts import Rollouts
+from cranberrysail.router.rolloutstatuscodec import BaseStatusCodec
 from cranberrysail.router.store import (
     BaseStore,
     OffsetConflictError,
@@ -17,7 +17,7 @@
     Topic,
 )
 
-__all__ = ["BaseStatusCodec", "StoredRollouts"]
+__all__ = ["StoredRollouts"]
 
 # Interval at which statuses are compared with those in the store.
 COMPARE_INTERVAL_S = 0.1
@@ -33,30 +33,6 @@
 MAX_CONFLICTS = 5
 
 
-class BaseStatusCodec(ABC):
-    """Translates statuses to and from the platform's records."""
-
-    @abstractmethod
-    def is_status_key(self, key: str) -> bool:
-        """Return whether the routers' record under a key is the status of an order."""
-
-    @abstractmethod
-    def status_key(self, service: str) -> str:
-        """Return the key of the status of a service."""
-
-    @abstractmethod
-    def decode_status(self, key: str, value: bytes) -> RolloutStatus:
-        """Return a decoded status.
-
-        Raises:
-          InvalidMessageError: If the record is invalid.
-        """
-
-    @abstractmethod
-    def encode_status(self, status: RolloutStatus) -> bytes:
-        """Return an encoded status."""
-
-
 def _content(status: RolloutStatus | None) -> tuple[object, ...] | None:
     """Return what makes two statuses differ for readers."""
     if status is None:
