--- a/cranberrysail/router/admission.py
+++ b/cranberrysail/router/admission.py
@@ -67,8 +67,8 @@
       max_waiting_bytes: Maximum size of their requests.
       urgent_wait_share: Fraction of its target latency for which a call of priority 0
         waits in the router. Engines order their queues by priority, so it is served
-        sooner there: with 32 routers and a rush of long calls, 0.3 of the target cut the
-        urgent calls in time from 0.70 to 0.41.
+        sooner there: with 32 routers and a rush of long calls, 0.3 of the target cut
+        the urgent calls in time from 0.70 to 0.41.
     """
 
     max_wait_share: float = 0.5
