--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -341,10 +341,10 @@
     [
         ((200, b'{"offset": 7, "end": 8}'), None),
         ((200, b"{}"), None),
-        ((200, b'{"offset": 9, "end": 10}'), OffsetConflictError),
-        ((200, b"{not json"), StoreError),
+        ((412, b'{"end": 10}'), OffsetConflictError),
+        ((412, b"{not json"), OffsetConflictError),
         ((409, b"{}"), StoreError),
-        ((412, b"{}"), StoreError),
+        ((503, b"{}"), StoreError),
     ],
 )
 def test_conditional_write_states_the_offset_and_checks_it(response, error):
--- a/tests/router/test_scarce_capacity.py
+++ b/tests/router/test_scarce_capacity.py
@@ -100,7 +100,7 @@
 
     new = mean(in_time, plain_site, routers, True, total=2.3)
     old = mean(in_time, plain_site, routers, False, total=2.3)
-    assert new > old
+    assert new > old + 0.02
     assert new > 0.68
 
 
@@ -132,9 +132,10 @@
     assert site.retries <= 0.2 * site.first_sends + 56
 
 
-@pytest.mark.parametrize("routers", [32, 62])
+@pytest.mark.parametrize("routers", [1, 8, 32, 62])
 def test_fewer_of_those_refused_in_a_short_rush_are_refused_again(routers):
-    # For 0.4 s, 2.4 times the capacity: the queue is drained in the callers' time.
+    # For 0.4 s, 2.4 times the capacity: the queue is drained in the callers' time. Most
+    # of those who come back are to be served: at most three in ten are refused again.
     rush = {"total": 5.0, "from_s": 10.0, "until_s": 10.4}
 
     def refused_twice(site):
@@ -143,7 +144,7 @@
     new = mean(refused_twice, plain_site, routers, True, **rush)
     old = mean(refused_twice, plain_site, routers, False, **rush)
     assert new < old
-    assert new < 0.42
+    assert new < 0.3
 
 
 @pytest.mark.parametrize("routers", [1, 8, 32])
