--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -198,7 +198,9 @@
         self, call: Call, endpoint: Endpoint, conn: HttpClientConn
     ) -> None:
         endpoint.open_calls += 1
-        # It is not sent again.
+        # The body is not sent again. The ids of the content, which are kept once they
+        # were computed, may be its digest and are needed if the endpoint crashes.
+        _ = call.content_ids
         call.request.body = b""
         held = call.caller_conn.resources.hold(conn.unsent_bytes, conn.close)
         try:
--- a/cranberrysail/router/serverconn.py
+++ b/cranberrysail/router/serverconn.py
@@ -313,6 +313,7 @@
     def _start(self, request: HttpRequest) -> None:
         self.resources.connections.request_completed(self)
         self._request_bytes = CALL_BYTES + request.held_bytes
+        self._served.since_s = request.arrived_s
         self._charge_served()
         self._response.begin(request)
         self._handler_task = asyncio.ensure_future(
