Roll-outs: clocks, full canaries, versions that replace the old ones

The time of day of a router that started an hour ahead ended an order at all routers; an age that is known by it is now marked as an estimate, loses to the age that a running router states, and is acted on only after 1 s. A call that was due for the new version was refused as full while old endpoints had room; it is placed among those. While an order stands whose old endpoints were replaced without one, calls go to the endpoints that took their place. The new tests fail without these changes.

--- a/cranberrysail/router/eligibility.py
+++ b/cranberrysail/router/eligibility.py
@@ -33,6 +33,10 @@
           now: Current time in seconds.
         """
 
+    @abstractmethod
+    def restricts(self, service: str) -> bool:
+        """Return whether some of the usable endpoints of a service may be left out."""
+
 
 class AllEligible(BaseEligibility):
     """Considers all usable endpoints."""
@@ -47,3 +51,7 @@
     ) -> list[Endpoint]:
         """Return all usable endpoints."""
         return usable
+
+    def restricts(self, service: str) -> bool:
+        """Return False."""
+        return False
--- a/cranberrysail/router/rollout.py
+++ b/cranberrysail/router/rollout.py
@@ -59,6 +59,9 @@
 # Slow responses must exceed chance for this time. A host that others use is slow for
 # about 0.6 s at a time, and then so are all responses of an endpoint on it.
 SLOW_CONFIRM_S = 1.0
+# Time in which a router that starts hears from others when an order began: some
+# intervals of the exchange.
+START_WAIT_S = 1.0
 # Slots per open call from which on new endpoints can take all calls.
 SLOTS_PER_CALL = 1.25
 
@@ -119,6 +122,8 @@
         self.bound = bound
         self.evidence = evidence
         self.started_s = started_s
+        self.start_is_estimated = False
+        self._read_s = started_s
         self.old_versions = old_versions
         self.phase = Phase.EXPOSURE
         self.reason = ""
@@ -133,9 +138,26 @@
         """Return the time since the order was first read."""
         return now - self.started_s
 
-    def started_earlier(self, started_s: float) -> None:
-        """Record that another router read the order earlier."""
+    def estimate_start(self, started_s: float) -> None:
+        """Set the start by the time of day, which may differ between hosts."""
         self.started_s = min(self.started_s, started_s)
+        self.start_is_estimated = True
+
+    def hear_start(self, started_s: float, is_estimated: bool) -> None:
+        """Record when another router takes the order to have been read.
+
+        A start that was read from a clock of this kind of host wins over an estimate by
+        the time of day, which could end the order at all routers.
+        """
+        if self.start_is_estimated and not is_estimated:
+            self.started_s = started_s
+            self.start_is_estimated = False
+        elif self.start_is_estimated or not is_estimated:
+            self.started_s = min(self.started_s, started_s)
+
+    def _awaits_start(self, now: float) -> bool:
+        """Return whether a router that runs longer may still tell the start."""
+        return self.start_is_estimated and now - self._read_s < START_WAIT_S
 
     @property
     def final_at_s(self) -> float:
@@ -197,6 +219,9 @@
         """
         new = [e for e in usable if self.side(e.record.version) is Side.NEW]
         old = [e for e in usable if self.side(e.record.version) is Side.OLD]
+        # Endpoints of versions that nobody named are used if there are no others, such
+        # as when the old ones were replaced while the order stands.
+        old = old or [e for e in usable if self.side(e.record.version) is None]
         if self.phase in (Phase.STOPPED, Phase.ROLLED_BACK):
             return old
         if self.phase is Phase.COMPLETED:
@@ -252,7 +277,7 @@
     def update(self, capacity: Capacity, now: float) -> bool:
         """Judge the evidence; return whether the phase has changed."""
         self._capacity = capacity
-        if self.phase not in (Phase.EXPOSURE, Phase.SHIFT):
+        if self.phase not in (Phase.EXPOSURE, Phase.SHIFT) or self._awaits_start(now):
             return False
         counts, losses = self.evidence.total()
         if count_of(counts, Side.NEW, Field.RESPONSES):
@@ -292,6 +317,8 @@
         elapsed_s = self.elapsed_s(now)
         if not EARLIEST_VERDICT <= elapsed_s / duration_s <= LATEST_VERDICT:
             return False
+        if self._awaits_start(now):
+            return False
         if not self._can_carry_load(now) or self._slow_since_s < now:
             return False
         counts, _ = self.evidence.total()
@@ -309,7 +336,9 @@
 
     def is_moved(self, now: float) -> bool:
         """Return whether the old endpoints are no longer needed."""
-        if self.phase is not Phase.SHIFT or not self._can_carry_load(now):
+        if self.phase is not Phase.SHIFT or self._awaits_start(now):
+            return False
+        if not self._can_carry_load(now):
             return False
         ramp_end_s = self._shift_s + RAMP * self.order.duration_s
         if now >= max(self.final_at_s, ramp_end_s + MIN_SETTLE_S):
--- a/cranberrysail/router/rolloutexchange.py
+++ b/cranberrysail/router/rolloutexchange.py
@@ -101,6 +101,7 @@
       router: Number of the router's process.
       own: Counts of the router; None in messages that need only those of zones.
       zones: Counts of zones, by name.
+      start_is_estimated: Whether the time is known by the time of day only.
     """
 
     service: str
@@ -113,6 +114,7 @@
     zone: str
     own: CountsMessage | None
     zones: Annotated[dict[str, CountsMessage], msgspec.Meta(max_length=MAX_ZONES)]
+    start_is_estimated: bool = False
 
 
 _DECODER: MessageDecoder[list[_News]] = MessageDecoder.msgpack(list[_News])
@@ -178,6 +180,7 @@
             self._zone,
             CountsMessage.of(evidence.own) if with_own else None,
             {name: CountsMessage.of(zone) for name, zone in zones.items()},
+            rollout.start_is_estimated,
         )
 
     def merge_message(self, message: bytes, is_request: bool) -> None:
@@ -196,7 +199,11 @@
     def _merge(self, news: _News, is_request: bool) -> None:
         order = RolloutOrder(news.service, news.to, news.duration_s)
         rollout = self._rollouts.hear(
-            order, news.elapsed_ms / 1000, news.phase, news.reason
+            order,
+            news.elapsed_ms / 1000,
+            news.phase,
+            news.reason,
+            news.start_is_estimated,
         )
         if rollout is None:
             return
--- a/cranberrysail/router/rollouts.py
+++ b/cranberrysail/router/rollouts.py
@@ -266,7 +266,7 @@
         if service.read_in_snapshot:
             if status.started_ms:
                 age_s = max(0.0, unix_time() - status.started_ms / 1000)
-                rollout.started_earlier(now() - age_s)
+                rollout.estimate_start(now() - age_s)
             if status.old_versions:
                 rollout.old_versions = status.old_versions
         phase = status.phase
@@ -297,7 +297,12 @@
         return age_s >= rollout.elapsed_s(now())
 
     def hear(
-        self, order: RolloutOrder, age_s: float, phase: Phase, reason: str
+        self,
+        order: RolloutOrder,
+        age_s: float,
+        phase: Phase,
+        reason: str,
+        start_is_estimated: bool = False,
     ) -> Rollout | None:
         """Adopt the phase that another router has reached.
 
@@ -306,6 +311,7 @@
           age_s: Time since it was first read.
           phase: The phase.
           reason: Why the order was stopped.
+          start_is_estimated: Whether the other router knows the age by the time of day.
 
         Returns:
           The order at this router; None if it executes another one or none.
@@ -316,7 +322,7 @@
         rollout = service.rollout
         if rollout.order != order or self._is_older(service, age_s):
             return None
-        rollout.started_earlier(now() - age_s)
+        rollout.hear_start(now() - age_s, start_is_estimated)
         self._advance(service, phase, reason)
         return rollout
 
@@ -382,6 +388,11 @@
         ]
         return allowed or usable
 
+    def restricts(self, service: str) -> bool:
+        """Return whether an order is executed for a service."""
+        known = self._services.get(service)
+        return known is not None and known.rollout is not None
+
     def _is_held(self, endpoint: Endpoint, now: float) -> bool:
         key = (endpoint.record.service, endpoint.record.version)
         seen_s = self._first_seen_s.get(key, float("-inf"))
--- a/cranberrysail/router/selector.py
+++ b/cranberrysail/router/selector.py
@@ -258,15 +258,37 @@
         """
         service = tables.services.get(service_name, Service(service_name))
         usable = [e for e in self.endpoints.usable(service_name) if e.id not in tried]
-        usable = self.rollouts.eligible(
-            service_name,
-            usable,
-            lambda e: (
-                e.takes_requests(now) and self._within_cold_limit(e, service, now)
-            ),
-            bool(tried),
-            now,
-        )
+
+        def is_admissible(endpoint: Endpoint) -> bool:
+            return endpoint.takes_requests(now) and self._within_cold_limit(
+                endpoint, service, now
+            )
+
+        def choose_eligible(is_retry: bool) -> Choice:
+            eligible = self.rollouts.eligible(
+                service_name, usable, is_admissible, is_retry, now
+            )
+            return self._choose_among(eligible, service, parts, remaining_s, now, work)
+
+        choice = choose_eligible(bool(tried))
+        if choice.reason is RefusalReason.FULL and self.rollouts.restricts(
+            service_name
+        ):
+            # The few endpoints of a version that is tried may be full while others are
+            # not.
+            choice = choose_eligible(is_retry=True)
+        return choice
+
+    def _choose_among(
+        self,
+        usable: list[Endpoint],
+        service: Service,
+        parts: tuple[str, ...],
+        remaining_s: float,
+        now: float,
+        work: CallWork | None,
+    ) -> Choice:
+        service_name = service.name
         if not usable:
             return Choice(None, RefusalReason.NO_ENDPOINT)
         taking = [e for e in usable if e.takes_requests(now)]
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -295,3 +295,31 @@
     request = msgspec.msgpack.encode(CountsMessage.of(hub.own))
     response = msgspec.msgpack.encode(zones)
     assert (len(request) + len(response) + 200) * 3.4 < 5000
+
+
+def test_clock_of_a_router_that_starts_does_not_move_the_deadline():
+    """A clock that is an hour ahead stopped the order at all routers."""
+    running, started = make_rollout(), make_rollout(router_id=2)
+    started.estimate_start(-3600.0)
+    running.hear_start(started.started_s, started.start_is_estimated)
+    assert running.started_s == 0.0
+    started.hear_start(running.started_s, running.start_is_estimated)
+    assert started.started_s == 0.0
+    assert not started.start_is_estimated
+
+
+def test_router_that_starts_waits_for_others_before_it_stops_an_order():
+    rollout = make_rollout()
+    rollout.estimate_start(-3600.0)
+    assert not rollout.update(Capacity(45, 1080, 45), 0.5)
+    assert rollout.update(Capacity(45, 1080, 45), 1.5)
+    assert rollout.phase is Phase.STOPPED
+
+
+def test_endpoints_of_another_version_are_used_where_the_old_ones_are_gone():
+    """An order that stands after it was rolled back refused all calls."""
+    rollout = make_rollout()
+    rollout.advance(Phase.ROLLED_BACK, 1.0)
+    other = [make_endpoint("x", "v3")]
+    assert rollout.eligible([*other, *NEW], lambda e: True, False, 2.0) == other
+    assert rollout.eligible([*other, *OLD], lambda e: True, False, 2.0) == OLD
--- a/tests/router/test_selector.py
+++ b/tests/router/test_selector.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cranberrysail.router.config import RouterConfig
+from cranberrysail.router.eligibility import AllEligible
 from cranberrysail.router.endpoints import EndpointDirectory
 from cranberrysail.router.load import LoadReport, LoadTracker
 from cranberrysail.router.model import EndpointRecord, RouteTables, Service
@@ -48,3 +49,25 @@
         prompt = ("shared", f"prompt-{number}", "own")
         assert selector.choose(tables, "s", prompt, set(), 5.0, 1.0).endpoint
     assert len(estimated) <= CALLS * MAX_ESTIMATES
+
+
+class OneOfTwo(AllEligible):
+    """Considers the first endpoint only, and for retries the others."""
+
+    def eligible(self, service, usable, admissible, is_retry, now):
+        return usable[1:] if is_retry else usable[:1]
+
+    def restricts(self, service):
+        return True
+
+
+def test_call_is_not_refused_because_the_tried_version_is_full():
+    """Endpoints of a new version that are slow refused calls that others could take."""
+    selector = make_selector(2)
+    full, free = selector.endpoints
+    report = LoadReport(SLOTS, 900, SLOTS)
+    selector.loads.record_report(full, report, 0.9)
+    selector.loads.record_report(free, LoadReport(1, 0, SLOTS), 0.9)
+    selector.rollouts = OneOfTwo()
+    tables = RouteTables(1, (), {"s": Service("s", engine_slots=SLOTS)})
+    assert selector.choose(tables, "s", ("p", "own"), set(), 2.0, 1.0).endpoint is free
