--- a/cranberrysail/router/follower.py
+++ b/cranberrysail/router/follower.py
@@ -44,6 +44,10 @@
 }
 # Pause after a failed read, so that a recovering store is not overloaded.
 RETRY_DELAY_S = 0.25
+# Shortly after a start calls wait for what is read, for about a second at most, so that
+# reads are tried again sooner: by half the pause, and without a random addition.
+START_S = 1.5
+START_RETRY_DELAY_S = RETRY_DELAY_S / 2
 # After a page larger than this, reads pause, so that a burst of large tables is read
 # at once and leaves bandwidth on the link for callers.
 LARGE_PAGE_BYTES = 128 * 1024
@@ -122,6 +126,7 @@
         self._read_task: asyncio.Task | None = None
         self._interruption: StoreError | None = None
         self.failing = False
+        self._started_s = now()
         self.last_read_s = now()
         self.on_failing_changed: Callable[[TopicFollower], None] = _ignore_change
 
@@ -137,10 +142,15 @@
                 self._position = None
             except StoreError as exc:
                 self._mark_failing(str(exc))
-                await asyncio.sleep(RETRY_DELAY_S * (1.0 + random.random()))
+                await asyncio.sleep(self._retry_delay_s())
             else:
                 self._mark_recovered()
 
+    def _retry_delay_s(self) -> float:
+        if not self._state.is_loaded and now() - self._started_s < START_S:
+            return START_RETRY_DELAY_S
+        return RETRY_DELAY_S * (1.0 + random.random())
+
     def interrupt_read(self, why: StoreError | None = None) -> None:
         """Cancel a waiting read, unless called by it.
 
--- a/tests/router/test_routers_that_start.py
+++ b/tests/router/test_routers_that_start.py
@@ -1,6 +1,7 @@
 """Routers that start know what the newest records of the store hide."""
 
 import asyncio
+import random
 from itertools import combinations
 
 import pytest
@@ -134,7 +135,11 @@
 
 
 @pytest.mark.parametrize("away_s", [0.0, 0.4, 0.8])
-def test_call_that_arrives_before_the_tables_is_not_refused(away_s):
+@pytest.mark.parametrize("seed", [0, 3, 23, 39])
+def test_call_that_arrives_before_the_tables_is_not_refused(away_s, seed):
+    """Pauses between reads are random; with these seeds, calls were refused."""
+    random.seed(seed)
+
     async def main(world):
         world.kill(world.routers["r1"], HOSTS["r1"])
         world.store.view_for("r1").down = True
