Fix: two failures of the whole suite: a word in a doc comment, and an address in use

A doc comment in rollout.py has the word that the check of decisions forbids. One test of responses could not bind its address: addresses were drawn from the global generator, which tests of random scenarios seed, so two suites at once, or two tests of one, could draw the same. That this was the cause is suspected, not shown. They come from the system now.

--- a/cranberrysail/router/rollout.py
+++ b/cranberrysail/router/rollout.py
@@ -146,8 +146,8 @@
     def hear_start(self, started_s: float, is_estimated: bool) -> None:
         """Record when another router takes the order to have been read.
 
-        A start that was read from a clock of this kind of host wins over an estimate by
-        the time of day, which could end the order at all routers.
+        What a router states that has executed the order wins over an estimate by the
+        time of day, which could end the order at all routers.
         """
         if self.start_is_estimated and not is_estimated:
             self.started_s = started_s
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -207,7 +207,9 @@
           folder: Folder for settings and logs.
         """
         self._folder = Path(folder)
-        self._net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
+        # Independent of seeds, which would give suites that run at once the same one.
+        rng = random.SystemRandom()
+        self._net = f"127.{rng.randint(16, 250)}.{rng.randint(1, 250)}"
         self._tasks: set[asyncio.Task] = set()
         self._stopping = False
         self._addresses = 0
--- a/tests/router/realfleet.py
+++ b/tests/router/realfleet.py
@@ -144,7 +144,9 @@
 
     def __init__(self, scripts: list[Script]) -> None:
         self._scripts = iter(scripts)
-        self._net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
+        # Independent of seeds, which would give suites that run at once the same one.
+        rng = random.SystemRandom()
+        self._net = f"127.{rng.randint(16, 250)}.{rng.randint(1, 250)}"
         self._tasks: list[asyncio.Task] = []
         self._listeners: list[socket.socket] = []
         self.conns: list[EndpointSocket] = []
