--- a/cranberrysail/router/returnschedule.py
+++ b/cranberrysail/router/returnschedule.py
@@ -14,8 +14,7 @@
 # callers that come for the first time.
 RETURN_RATE_SHARE = 0.5
 # Part of a caller's longest delay, at its end, over which those without a place are
-# spread. Over half of it, 0.41 of the callers that 8 routers had refused in a rush of
-# 0.4 s came back too early and were refused again; over this, 0.32.
+# spread. Over more of it, more of them come back too early and are refused again.
 LAST_PART = 0.2
 # Minimum delay. A plain call takes 60 to 90 ms, so capacity is free again after that.
 MIN_DELAY_S = 0.1
--- a/cranberrysail/router/rotation.py
+++ b/cranberrysail/router/rotation.py
@@ -1,8 +1,7 @@
 """Whether the load balancer should send callers to this router.
 
 Answers the load of a zone that is cut off while its callers still reach other zones:
-its routers leave the rotation, and the balancer sends the callers to the next zones. A
-balancer that has no other router goes on using these.
+its routers leave the rotation, and the balancer sends the callers to the next zones.
 """
 
 from collections.abc import Iterable
