--- a/cranberrysail/router/loadexchange.py
+++ b/cranberrysail/router/loadexchange.py
@@ -27,9 +27,8 @@
 # Interval between two exchanges of a router. Calls take about a second, and a report
 # that is much older says little about the load at present.
 EXCHANGE_INTERVAL_S = 0.3
-# The interval where work is weighed: a backlog lasts a few tenths of a second. In the
-# simulation of bench/sheets/pressure.jsonc (62 routers, seeds 1 to 3), first events are
-# late in 8.8 % of the calls with an exchange each 0.3 s, and in 8.0 % each 0.2 s.
+# The interval where work is weighed: a backlog lasts a few tenths of a second, and
+# older reports of it make more first events late.
 SHORT_INTERVAL_S = 0.2
 # Routers of a zone up to which the interval is short: one router answers all others.
 MAX_SHORT_INTERVAL_ROUTERS = 24
--- a/tests/router/test_scarce_capacity.py
+++ b/tests/router/test_scarce_capacity.py
@@ -1,7 +1,6 @@
 """What callers get where capacity is short, with and without its allocation.
 
 Each load is played by simulated callers and endpoints against the router's decisions.
-The bounds leave room for the spread between seeds.
 """
 
 import functools
