--- a/review/6/case.py
+++ b/review/6/case.py
@@ -26,16 +26,17 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # srv_grey with "hang all", share 1.0: part of the requests that get no answer.
 HANG_SHARE = 0.45 if TROUBLE else 0.0
-ROUTERS = 8
 # Clients that come at once to the router that is to be stopped, and their pauses.
 CROWD = 300
 PAUSE_S = 0.02
 ARRIVE_WITHIN_S = 0.1
 TAG_TIMEOUT_MS = 2500
 NOTE_TIMEOUT_MS = 10000
-# SIGTERM comes this long after the crowd, and the workers hang until a bit later.
-STOP_AFTER_S = 3.0
+# SIGTERM comes this long after the crowd, in the first wave of timeouts, at several
+# moments of it. The workers hang until a bit later.
+STOP_AFTER_S = (2.7, 2.8, 2.9, 3.0, 3.05, 3.1, 3.1, 3.15)
 HANG_ON_S = 0.5
+ROUTERS = len(STOP_AFTER_S)
 # Clients that were idle since before the SIGTERM use their connections again.
 KEPT = 5
 REUSE_AFTER_S = 6.9
@@ -97,7 +98,11 @@
 
 
 async def stop_router(
-    deployment: Deployment, engines: Engines, router: Router, record: Record
+    deployment: Deployment,
+    engines: Engines,
+    router: Router,
+    after_s: float,
+    record: Record,
 ) -> list[Exchange]:
     """Stop a router while a crowd calls it; return the requests that it lost."""
     ids_before = {run[1] for worker in deployment.workers for run in worker.runs}
@@ -114,10 +119,10 @@
         )
         for _ in range(CROWD)
     ]
-    await asyncio.sleep(STOP_AFTER_S)
+    await asyncio.sleep(after_s)
     router.signal(signal.SIGTERM)
     stop_s = time.monotonic()
-    record.write(f"{router.name}: SIGTERM")
+    record.write(f"{router.name}: SIGTERM {after_s} s after the crowd")
     await asyncio.sleep(HANG_ON_S)
     engines.hanging = False
     hang_end_s = time.monotonic()
@@ -180,8 +185,8 @@
             await deployment.add_worker(worker)
         for number in range(ROUTERS):
             await deployment.add_router(number)
-        for router in deployment.routers:
-            lost += await stop_router(deployment, engines, router, record)
+        for router, after_s in zip(deployment.routers, STOP_AFTER_S, strict=True):
+            lost += await stop_router(deployment, engines, router, after_s, record)
     except (OSError, TimeoutError) as exc:
         record.write(f"could not run: {exc!r}")
         return 2
