Review: the cases name the record that they write

Cause: only the shared stand-ins named record.txt.

Added: each case opens record.txt in its own folder; case 6 also records how many requests had reached workers before each SIGTERM.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -122,6 +122,8 @@
     await asyncio.sleep(after_s)
     router.signal(signal.SIGTERM)
     stop_s = time.monotonic()
+    reached = {r[1] for w in deployment.workers for r in w.runs} - ids_before
+    record.write(f"{router.name}: {len(reached)} requests had reached workers")
     record.write(f"{router.name}: SIGTERM {after_s} s after the crowd")
     await asyncio.sleep(HANG_ON_S)
     engines.hanging = False
@@ -158,7 +160,7 @@
 
 async def run() -> int:
     """Stop one router after the other; return the exit status."""
-    record = Record(FOLDER)
+    record = Record(FOLDER / "record.txt")
     deployment = Deployment()
     engines = Engines()
     lost = []
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -75,11 +75,11 @@
 
 
 class Record:
-    """Writes what happened to ``record.txt`` of a case."""
+    """Writes what was sent, answered and run to the record of a case."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         """Open the file."""
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8")
         self._start_s = time.monotonic()
 
     def write(self, text: str) -> None:
