--- a/review/6/case.py
+++ b/review/6/case.py
@@ -27,7 +27,7 @@
 # srv_grey with "hang all", share 1.0: part of the requests that get no answer.
 HANG_SHARE = 0.45 if TROUBLE else 0.0
 # Clients that come at once to the router that is to be stopped, and their pauses.
-CROWD = 300
+CROWD = 240
 PAUSE_S = 0.02
 ARRIVE_WITHIN_S = 0.1
 TAG_TIMEOUT_MS = 2500
