--- a/cranberrysail/router/callhandler.py
+++ b/cranberrysail/router/callhandler.py
@@ -125,7 +125,10 @@
         self._stop_at_s = stop_at_s
         loop_time_s = asyncio.get_running_loop().time() + stop_at_s - now()
         for timeout in self._timeouts:
-            timeout.reschedule(min(timeout.when(), loop_time_s))
+            # A call that has timed out ends by itself, in the next pass of the event
+            # loop; its timeout can no longer be changed.
+            if not timeout.expired():
+                timeout.reschedule(min(timeout.when(), loop_time_s))
 
     def refuse_long_calls(self) -> None:
         """Refuse calls from now on whose timeouts do not end before the stop.
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import signal
+from functools import partial
 
 import msgspec
 
@@ -23,6 +24,7 @@
 from cranberrysail.router.follower import BaseRecordDecoder, Follower, RoutingState
 from cranberrysail.router.headercodec import BaseHeaderCodec
 from cranberrysail.router.httplistener import HttpListener
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.load import LoadTracker
 from cranberrysail.router.loadexchange import LoadExchange
 from cranberrysail.router.loadgossip import LoadGossip
@@ -412,9 +414,16 @@
             return
         self._stop_requested_s = now()
         self.listener.draining = True
-        self.call_handler.end_calls_by(self._close_at_s - FINAL_RESPONSES_S)
+        run_isolated(
+            partial(self.background_tasks.start, "stop", self._drain_and_stop),
+            self._log_stopping,
+            partial(
+                self.call_handler.end_calls_by, self._close_at_s - FINAL_RESPONSES_S
+            ),
+        )
+
+    def _log_stopping(self) -> None:
         self.log.write("stopping", open=self.listener.busy_connections)
-        self.background_tasks.start("stop", self._drain_and_stop)
 
     @property
     def _close_at_s(self) -> float:
