--- a/cranberrysail/router/httplistener.py
+++ b/cranberrysail/router/httplistener.py
@@ -10,6 +10,7 @@
     CallerDisconnectedError,
     ResponseStartedError,
 )
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.model import CallerLimits
 from cranberrysail.router.resourcelimits import ResourceLimits
 from cranberrysail.router.serverconn import (
@@ -124,12 +125,10 @@
         """
         self.stop_listening()
         self.closing_idle = True
-        for conn in list(self.conns):
-            conn.check_timeouts()
+        self._check_timeouts()
         while self.conns and now() < deadline_s:
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
-        for conn in list(self.conns):
-            conn.abort()
+        run_isolated(*(conn.abort for conn in self.conns))
 
     @property
     def busy_connections(self) -> int:
@@ -140,8 +139,10 @@
         """Check all connections for timeouts periodically; never returns."""
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
-            for conn in list(self.conns):
-                conn.check_timeouts()
+            self._check_timeouts()
+
+    def _check_timeouts(self) -> None:
+        run_isolated(*(conn.check_timeouts for conn in self.conns))
 
 
 def _set_buffers(sock: asyncio.trsock.TransportSocket) -> None:
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -62,6 +62,8 @@
 CLOSE_MARGIN_S = 0.5
 # Time before that in which calls that are still open get a final response.
 FINAL_RESPONSES_S = 0.1
+# Time before SIGKILL at which the process ends, whatever keeps the stop from its end.
+END_MARGIN_S = 0.25
 
 
 class Router:
@@ -416,28 +418,34 @@
         self.listener.draining = True
         run_isolated(
             partial(self.background_tasks.start, "stop", self._drain_and_stop),
+            self._schedule_end,
             self._log_stopping,
             partial(
                 self.call_handler.end_calls_by, self._close_at_s - FINAL_RESPONSES_S
             ),
         )
 
+    def _schedule_end(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.cfg.grace_s - END_MARGIN_S, self.stopped.set)
+
     def _log_stopping(self) -> None:
         self.log.write("stopping", open=self.listener.busy_connections)
 
+    def _log_stopped(self) -> None:
+        self.log.write("stopped", open=self.listener.busy_connections)
+
     @property
     def _close_at_s(self) -> float:
         """Return the time at which all connections are closed in a stop."""
         return self._stop_requested_s + self.cfg.grace_s - CLOSE_MARGIN_S
 
     async def _drain_and_stop(self) -> None:
-        try:
-            await asyncio.sleep(BALANCER_DRAIN_S)
-            self.call_handler.refuse_long_calls()
-            await self.listener.shutdown(self._close_at_s)
-            self.log.write("stopped", open=self.listener.busy_connections)
-        finally:
-            self.stopped.set()
+        """Carry out a stop; called again if it fails, while calls may be open."""
+        await asyncio.sleep(self._stop_requested_s + BALANCER_DRAIN_S - now())
+        run_isolated(self.call_handler.refuse_long_calls)
+        await self.listener.shutdown(self._close_at_s)
+        run_isolated(self._log_stopped, self.stopped.set)
 
     async def run(self) -> None:
         """Serve until the graceful shutdown is complete."""
