--- a/cranberrysail/router/callorder.py
+++ b/cranberrysail/router/callorder.py
@@ -5,12 +5,14 @@
 import random
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 
 from cranberrysail.router.admission import AdmissionBound, RefusalReason
 from cranberrysail.router.allocation import Allocation, CallFacts, Turn, TurnLimit
 from cranberrysail.router.call import Call
 from cranberrysail.router.clock import now
 from cranberrysail.router.decisionlog import DecisionLog
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.metrics import RouterMetrics
 from cranberrysail.router.outcome import Attempt, AttemptResult
 from cranberrysail.router.selector import Selector
@@ -175,8 +177,8 @@
         for waiting in self.allocation.room.due(now()):
             self.allocation.room.leave(waiting)
             self._end(waiting, None, TurnLimit.TIME)
-        for service in list(self.allocation.room.services()):
-            self._wake(service)
+        services = self.allocation.room.services()
+        run_isolated(*(partial(self._wake, service) for service in services))
         self._schedule_poll()
 
     def _wake(self, service: str, freed: int = 0) -> None:
--- a/cranberrysail/router/crashdetector.py
+++ b/cranberrysail/router/crashdetector.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from cranberrysail.errors import UpstreamError
 from cranberrysail.router.clock import now
@@ -16,6 +17,7 @@
 from cranberrysail.router.decisionlog import DecisionLog
 from cranberrysail.router.endpoints import Endpoint, EndpointState
 from cranberrysail.router.httpclient import connect
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.metrics import RouterMetrics
 
 __all__ = ["Crash", "CrashDetector", "OpenCall"]
@@ -131,8 +133,10 @@
             self._write_log("connections_ended", crash, why=why)
             return
         self._metrics.count("endpoint_crashes", endpoint.record.service)
-        self._write_log("endpoint_crashed", crash)
-        self._on_crash(crash)
+        run_isolated(
+            partial(self._write_log, "endpoint_crashed", crash),
+            partial(self._on_crash, crash),
+        )
 
     async def _reason_against(self, endpoint: Endpoint) -> str:
         """Return what speaks against a crash, empty if nothing does."""
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -20,6 +20,7 @@
     response_framing,
 )
 from cranberrysail.router.clock import now
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.tcpstate import read_tcp_state, read_unread_bytes
 
 __all__ = ["HttpClientConn", "connect"]
@@ -178,7 +179,7 @@
         """Fail the pending request, unless its response has arrived."""
         self.reusable = False
         if exc is not None:
-            self._receive_rest()
+            run_isolated(self._receive_rest)
         # Other errors, such as a timeout, tell that the server cannot be reached.
         if self._failure_reason is None:
             self._disconnected = exc is None or isinstance(exc, ConnectionError)
--- a/cranberrysail/router/process.py
+++ b/cranberrysail/router/process.py
@@ -173,6 +173,17 @@
         self.stopped = asyncio.Event()
 
     def _on_endpoint_change(self, change: EndpointChange, endpoint: Endpoint, why: str):
+        # The directory is in the middle of a change, which an exception would leave
+        # half-done.
+        run_isolated(
+            partial(self._log_endpoint_change, change, endpoint, why),
+            partial(self.rollouts.note_endpoint, endpoint),
+            partial(self._forget_removed, change, endpoint),
+        )
+
+    def _log_endpoint_change(
+        self, change: EndpointChange, endpoint: Endpoint, why: str
+    ) -> None:
         record = endpoint.record
         self.log.write(
             "endpoint",
@@ -184,15 +195,16 @@
             why=why,
         )
         self.metrics.count("endpoint_changes", change.value)
-        self.rollouts.note_endpoint(endpoint)
+
+    def _forget_removed(self, change: EndpointChange, endpoint: Endpoint) -> None:
         if change is EndpointChange.REMOVED:
-            self.selector.cold_limiter.forget(record.endpoint_id)
+            self.selector.cold_limiter.forget(endpoint.id)
 
     def _on_zone_change(self, zone: str, reachable: bool) -> None:
-        self.log.write("zone_reached" if reachable else "zone_unreachable", zone=zone)
-        self.metrics.count("zone_changes", "reached" if reachable else "unreachable")
         if reachable:
             self.endpoints.zone_reached(zone, now())
+        self.log.write("zone_reached" if reachable else "zone_unreachable", zone=zone)
+        self.metrics.count("zone_changes", "reached" if reachable else "unreachable")
 
     def _update_rotation(self) -> None:
         unreachable = self.endpoints.reachability.unreachable
@@ -397,8 +409,7 @@
         while True:
             started_s = now()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self.call_handler.sweep()
-            self._update_rotation()
+            run_isolated(self.call_handler.sweep, self._update_rotation)
             late_s = now() - started_s - MAINTENANCE_INTERVAL_S
             if late_s > SUSPENSION_THRESHOLD_S:
                 self.log.write("stood_still", seconds=round(late_s, 2))
@@ -477,17 +488,21 @@
             if getattr(cfg, f.name) != getattr(self.cfg, f.name)
         ]
         self.cfg = cfg
-        self.selector.configure(cfg)
-        self.call_handler.configure(cfg)
-        self.resources.configure(cfg.memory_mb, cfg.file_descriptors)
+        run_isolated(
+            partial(self.selector.configure, cfg),
+            partial(self.call_handler.configure, cfg),
+            partial(self.resources.configure, cfg.memory_mb, cfg.file_descriptors),
+        )
         self.log.write("reloaded", why=why, changed=changed)
 
     def close(self) -> None:
         """Cancel all tasks and close all outgoing connections."""
-        self.background_tasks.close()
-        self.call_handler.attempt_runner.crash_detector.close()
-        self.call_handler.attempt_runner.connection_pool.close()
-        self.follower.sources.close()
-        self.load_exchange.close()
-        self.quarantine_exchange.close()
-        self.rollout_exchange.close()
+        run_isolated(
+            self.background_tasks.close,
+            self.call_handler.attempt_runner.crash_detector.close,
+            self.call_handler.attempt_runner.connection_pool.close,
+            self.follower.sources.close,
+            self.load_exchange.close,
+            self.quarantine_exchange.close,
+            self.rollout_exchange.close,
+        )
--- a/cranberrysail/router/resourcelimits.py
+++ b/cranberrysail/router/resourcelimits.py
@@ -7,6 +7,7 @@
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.connectionlimit import ConnectionLimit, max_accepted
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.memoryaccount import (
     CONNECTION_BYTES,
     HoldingKind,
@@ -101,8 +102,7 @@
             return
         self._is_relieving = True
         try:
-            for holding in self.account.next_to_yield(now()):
-                holding.release()
+            run_isolated(*(h.release for h in self.account.next_to_yield(now())))
         finally:
             self._is_relieving = False
 
--- a/cranberrysail/router/serverconn.py
+++ b/cranberrysail/router/serverconn.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Protocol
 
 from cranberrysail.router.clock import now
 from cranberrysail.router.httprequest import HttpRequest, RequestReceiver
 from cranberrysail.router.httpresponse import ResponseSender, ResponseState
+from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.memoryaccount import (
     CONNECTION_BYTES,
     HoldingKind,
@@ -157,13 +159,15 @@
         self._listener.conns.discard(self)
         self.resources.connections.discard(self)
         self._closing = True
-        self._queue.clear()
-        self._receiver.discard()
-        self.resources.charge(self._incoming, 0)
-        self.resources.charge(self._served, 0)
-        self._response.resume()
         if self._handler_task is not None:
             self._handler_task.cancel()
+        self._response.resume()
+        self._queue.clear()
+        run_isolated(
+            self._receiver.discard,
+            partial(self.resources.charge, self._incoming, 0),
+            partial(self.resources.charge, self._served, 0),
+        )
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
@@ -178,9 +182,11 @@
     def resume_writing(self) -> None:
         """Wake writers that wait for a slow caller, and go on with its requests."""
         self._response.resume()
-        self._set_served_kind(HoldingKind.RUNNING)
-        self._charge_served()
-        self._start_next()
+        run_isolated(
+            partial(self._set_served_kind, HoldingKind.RUNNING),
+            self._charge_served,
+            self._start_next,
+        )
 
     def data_received(self, data: bytes) -> None:
         """Parse request bytes."""
@@ -323,6 +329,17 @@
 
     def _on_handler_done(self, task: asyncio.Task) -> None:
         self._handler_task = None
+        try:
+            self._end_request(task)
+        except Exception as exc:
+            # Nothing else would end the request or the connection.
+            is_sent = self._response.state is ResponseState.ENDED
+            run_isolated(
+                self.close if is_sent else self.abort,
+                partial(self._listener.on_error, exc),
+            )
+
+    def _end_request(self, task: asyncio.Task) -> None:
         self._timeout_start_s = now()
         if not self._response.unsent_bytes:
             self.resources.connections.request_ended(self)
--- a/cranberrysail/router/settingsfile.py
+++ b/cranberrysail/router/settingsfile.py
@@ -82,6 +82,9 @@
         try:
             text = self._path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
+            if isinstance(exc, OSError):
+                # The same content may be readable at the next attempt.
+                self._loaded_mtime_and_size = None
             problem = f"cannot be read ({exc}); check the path"
             raise ConfigError(source, [problem]) from exc
         return self.parse(text, source)
