--- a/cranberrysail/decisions/drain.py
+++ b/cranberrysail/decisions/drain.py
@@ -43,13 +43,13 @@
         ) != [self.board.name]:
             return
         self._stopped = True
+        self.emit(ExitProcess())
         self.board.invariants.check(
             Invariant.STOP_CUTS_NOTHING,
             not self.board.held_permits,
             now,
             "calls are open",
         )
-        self.emit(ExitProcess())
 
     def dump(self) -> dict[str, Any]:
         """Return whether the router is draining."""
--- a/cranberrysail/process.py
+++ b/cranberrysail/process.py
@@ -5,6 +5,7 @@
 import ssl
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from cranberrysail import logs
@@ -53,6 +54,8 @@
 HOSTS_POLL_INTERVAL_S = 1.0
 IDLE_CHECK_INTERVAL_S = 30.0
 PROBE_TIMEOUT_S = 1.0
+# Pause before a background task that failed is started again.
+RESTART_PAUSE_S = 0.1
 # Time to send the remaining responses once the node has stopped, in seconds.
 SHUTDOWN_GRACE_S = 2.0
 
@@ -112,8 +115,8 @@
         )
         self._action_handlers |= handlers_of(self.gateway)
         await self._listen()
-        self._spawn(self._tick_loop())
-        self._spawn(self._poll_hosts())
+        self._spawn(self._run_forever(self._tick_loop))
+        self._spawn(self._run_forever(self._poll_hosts))
         self._log.info(
             "{} serves callers on port {} and operators on port {}.",
             self.cfg.name,
@@ -156,9 +159,18 @@
         )
         self._listeners.append(listener)
         port = await listener.start(address, port, tls)
-        self._spawn(listener.check_timeouts_forever())
+        self._spawn(self._run_forever(listener.check_timeouts_forever))
         return port
 
+    async def _run_forever(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task, and start it again whenever it fails."""
+        while True:
+            try:
+                await run()
+            except Exception as exc:
+                self._log_failure(exc)
+            await asyncio.sleep(RESTART_PAUSE_S)
+
     def _spawn(self, coro: Any) -> None:
         task = asyncio.ensure_future(coro)
         self._tasks.add(task)
@@ -173,9 +185,19 @@
         self._log.opt(exception=exc).error("Unhandled exception.")
 
     def handle(self, event: Event) -> None:
-        """Pass an event to the node and carry out the resulting actions."""
+        """Pass an event to the node and carry out the resulting actions.
+
+        Raises:
+          ExceptionGroup: If actions fail; the others have been carried out.
+        """
+        errors = []
         for action in self.node.handle(event, self.clock.now()):
-            self._execute(action)
+            try:
+                self._execute(action)
+            except Exception as exc:
+                errors.append(exc)
+        if errors:
+            raise ExceptionGroup("actions failed", errors)
 
     def _execute(self, action: Action) -> None:
         self._action_handlers[type(action)](action)
