--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -266,7 +266,10 @@
             response_request_id = self._header_codec.response_head(
                 status, headers
             ).request_id
-            return response_request_id in ("", request_id)
+            if not response_request_id:
+                # It may be an earlier response, sent once more.
+                return conn.requests_sent == 1
+            return response_request_id == request_id
 
         sent_s = now()
         bodiless = call.request.method == "HEAD"
@@ -278,15 +281,14 @@
         response = self._header_codec.response_head(conn.status, conn.headers)
         self._record_wishes(endpoint, request_id, conn.status, response)
         conn.idle_timeout_s = response.idle_timeout_s
-        if response.closing:
+        if response.closing or not response.request_id:
             conn.reusable = False
         if response.report is not None:
             self._selector.loads.record_report(endpoint, response.report, now())
         if not response.displaced:
             self._endpoints.call_answered(endpoint, now(), call.service_config.cold_s)
         if response.displaced or response.not_run:
-            call.executions -= 1
-            return await self._on_not_executed(endpoint, conn, response)
+            return await self._on_not_executed(call, endpoint, conn, response)
         # A success without a valid seal may come from something between router and
         # endpoint, or may have been changed on the way.
         if conn.status < 300 and not response.from_endpoint:
@@ -327,12 +329,23 @@
             )
 
     async def _on_not_executed(
-        self, endpoint: Endpoint, conn: HttpClientConn, response: ResponseHead
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        conn: HttpClientConn,
+        response: ResponseHead,
     ) -> Attempt:
         try:
             await conn.read_up_to(MAX_BUFFERED_BYTES)
         except UpstreamError:
             conn.reusable = False
+        if not response.request_id or conn.has_surplus:
+            # A faulty endpoint may refuse a call that it runs, or is yet to run.
+            return Attempt(
+                AttemptResult.UNKNOWN,
+                f"status {conn.status}, a refusal that may belong to another call",
+            )
+        call.executions -= 1
         if response.displaced:
             self._endpoints.address_reassigned(endpoint, now())
             return Attempt(
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -71,6 +71,8 @@
       framing: What delimits the body of the response.
       body_bytes: Bytes of the body received so far.
       complete: True once the whole response was received.
+      requests_sent: Number of requests sent on this connection.
+      has_surplus: True once bytes arrived behind the last response.
       reusable: False once the connection must not carry another request.
       idle_since_s: Time at which the last response was complete.
       idle_timeout_s: Idle timeout announced by the server, 0 if none.
@@ -98,6 +100,8 @@
         self.framing = BodyFraming.NONE
         self.body_bytes = 0
         self.complete = False
+        self.requests_sent = 0
+        self.has_surplus = False
         self.reusable = True
         self.idle_since_s = now()
         self.idle_timeout_s = 0.0
@@ -110,6 +114,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; unsolicited data closes the connection."""
         if not self._busy or self.complete:
+            self.has_surplus = True
             self.close()
             return
         self._overhead.add_received(len(data))
@@ -202,6 +207,7 @@
     def on_message_begin(self) -> None:
         """Note that bytes follow the response, which belong to no request."""
         if self.complete:
+            self.has_surplus = True
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -369,6 +375,7 @@
         self._match = match
         self._bodiless = bodiless
         self._busy = True
+        self.requests_sent += 1
         self._overhead = OverheadMeter()
         self._discarded_bytes = 0
         self.status = 0
--- /dev/null
+++ b/tests/router/test_odd_responses.py
@@ -0,0 +1,154 @@
+"""Responses that faulty endpoints send besides those to the requests they received."""
+
+import asyncio
+from itertools import product
+
+import pytest
+
+from tests.router.interrupted import body_of
+from tests.router.simulatedfleet import (
+    SEAL,
+    SimulatedFleet,
+    make_config,
+    make_request,
+)
+from tests.router.test_interrupted_responses import send_to
+from tests.router.virtualloop import run_virtual
+
+NOT_EXECUTED = "Cranberrysail-Not-Executed: 1\r\n"
+EVENT_STREAM = "Content-Type: text/event-stream\r\n"
+WORK_S = 0.05
+ANSWER = b"id: 1\ndata: fine\n\n"
+OTHER = b"id: 7\ndata: other\n\n"
+PATHS = ["/book/1", "/look/1", "/chat/1", "/resumable/1"]
+# Of the request that is sent next, of the one before, of one that never was, or none.
+IDS = ["this", "earlier", "unknown", None]
+KINDS = {
+    "refusal": (503, NOT_EXECUTED),
+    "refusal-with-pause": (503, NOT_EXECUTED + "Retry-After: 3\r\n"),
+    "too-many": (429, NOT_EXECUTED),
+    "misdirected": (421, ""),
+    "success": (200, SEAL),
+    "failure": (500, SEAL),
+    "unavailable": (503, SEAL),
+}
+# When an odd response comes, relative to the request that a kept connection carries.
+TIMES = ["with the one before", "while idle", "at once", "while it runs", "behind it"]
+
+
+class OddWorker:
+    """Runs all requests; to the second of each connection it sends an odd response."""
+
+    def __init__(self, kind, odd_id, time):
+        self.status, self.extra = KINDS[kind]
+        self.odd_id = odd_id
+        self.time = time
+        self.seen = {}
+        self.ran = []
+        self.open = []
+
+    def send_odd(self, conn, time, ids):
+        if time == self.time and self.status:
+            conn.reply(self.status, self.extra, OTHER, ids.get(self.odd_id))
+
+    async def __call__(self, conn, received):
+        this = received.headers["cranberrysail-attempt-id"]
+        number = self.seen[conn] = self.seen.get(conn, 0) + 1
+        self.ran.append(this)
+        ids = {"this": this, "earlier": "a0", "unknown": "z"}
+        if number == 2:
+            self.send_odd(conn, "at once", ids)
+            await asyncio.sleep(WORK_S / 2)
+            self.send_odd(conn, "while it runs", ids)
+        await asyncio.sleep(WORK_S / 2)
+        conn.reply(200, SEAL + EVENT_STREAM, ANSWER, this)
+        if number == 2:
+            self.send_odd(conn, "behind it", ids)
+        # The next request has the id a1.
+        ids = {"this": "a1", "earlier": this, "unknown": "z"}
+        if number == 1:
+            self.send_odd(conn, "with the one before", ids)
+            await asyncio.sleep(0.02)
+            self.send_odd(conn, "while idle", ids)
+
+
+def send_two(worker, path):
+    """Send two requests, one after the other; return their callers."""
+
+    async def main(loop):
+        world = SimulatedFleet(loop)
+        world.write_config(make_config())
+        for number in range(2):
+            service = "plain" if path in PATHS[:2] else "engines"
+            world.add_worker(f"w{number}", service, worker, slots=64)
+        await world.start_router()
+        # The second request meets a kept connection of the first one's endpoint.
+        world.router.selector.choose = choose_first(world.router)
+        callers = []
+        for number in range(2):
+            request = make_request(path, f"a{number}", b"two seats")
+            callers.append(await world.send_and_wait(request))
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+        return callers
+
+    return run_virtual(main)
+
+
+def choose_first(router):
+    """Return a choice of endpoints that takes the first one that was not tried."""
+    choose = router.selector.choose
+
+    def choose_first_untried(tables, service, parts, tried, *args):
+        others = {e.id for e in router.endpoints if e.record.service == service}
+        first = min(others - tried, default=None)
+        return choose(tables, service, parts, (others - {first}) | tried, *args)
+
+    return choose_first_untried
+
+
+CASES = [
+    case
+    for case in product(PATHS, KINDS, IDS, TIMES)
+    # A response with the id of a request that is being answered is the response.
+    if not (case[2] == "this" and case[3] in ("at once", "while it runs"))
+]
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_odd_response_on_a_kept_connection_is_not_taken_for_the_one_that_is_due(path):
+    """Guards against a promise or an answer that belongs to another request."""
+    failed = {}
+    for case in CASES:
+        if case[0] != path:
+            continue
+        worker = OddWorker(*case[1:])
+        callers = send_two(worker, path)
+        seen = [(c.status, body_of(c)) for c in callers], worker.ran
+        if seen != ([(200, ANSWER)] * 2, ["a0", "a1"]):
+            failed[case] = seen
+    assert failed == {}
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/chat/1"])
+@pytest.mark.parametrize("kind", ["refusal", "misdirected"])
+@pytest.mark.parametrize("identified", [True, False])
+def test_refusal_that_an_answer_follows_is_no_promise(path, kind, identified):
+    """Guards against a second run of a request, or a caller that sends it again."""
+    status, extra = KINDS[kind]
+    ran = []
+
+    async def contradict(conn, received):
+        attempt = received.headers["cranberrysail-attempt-id"]
+        ran.append(attempt)
+        odd = f"HTTP/1.1 {status} X\r\n{extra}Content-Length: 0\r\n"
+        if identified:
+            odd += f"Cranberrysail-Attempt-Id: {attempt}\r\n"
+        due = (
+            f"HTTP/1.1 200 X\r\nCranberrysail-Attempt-Id: {attempt}\r\n{SEAL}"
+            f"{EVENT_STREAM}Content-Length: {len(ANSWER)}\r\n\r\n"
+        )
+        conn.transport.write(f"{odd}\r\n{due}".encode() + ANSWER)
+
+    caller, sent = send_to([contradict, contradict], make_request(path))
+    assert (caller.status, sent, ran) == (502, 1, ["a1"])
