--- a/cranberrysail/platform/headers.py
+++ b/cranberrysail/platform/headers.py
@@ -49,6 +49,8 @@
 STATUS_UNAVAILABLE = 503
 # Status sent by an endpoint that is not the expected instance.
 STATUS_MISDIRECTED = 421
+# Statuses that promise callers that the request was not executed and never will be.
+PROMISES_NOT_RUN = frozenset((408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE))
 # Urgency ranges from 0 to this value.
 LEAST_URGENT = 9
 
@@ -128,6 +130,7 @@
             pause_s=parse_pause_s(v for n, v in headers if n == RETRY_AFTER)
             if status == STATUS_UNAVAILABLE
             else 0.0,
+            promises_not_run=status in PROMISES_NOT_RUN,
         )
 
     def error_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -299,6 +299,10 @@
             return Attempt(AttemptResult.UNKNOWN, "response has no valid seal")
         if _is_stream(call, conn):
             return await self._forward_stream(call, endpoint, conn, pending_id, sent_s)
+        if response.promises_not_run and not call.route.retryable:
+            return await self._on_false_promise(
+                call, endpoint, conn, pending_id, sent_s
+            )
         return await self._forward_response(call, endpoint, conn, pending_id, sent_s)
 
     def _record_wishes(
@@ -328,6 +332,22 @@
                 status=status,
             )
 
+    async def _on_false_promise(
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        conn: HttpClientConn,
+        pending_id: int,
+        sent_s: float,
+    ) -> Attempt:
+        """Handle a status that tells callers more than the endpoint declares."""
+        await conn.read_up_to(MAX_BUFFERED_BYTES)
+        self._record_response(call, endpoint, pending_id, sent_s, conn.status)
+        return Attempt(
+            AttemptResult.UNKNOWN,
+            f"status {conn.status}, not declared that the call was not run",
+        )
+
     async def _on_not_executed(
         self,
         call: Call,
--- a/cranberrysail/router/headercodec.py
+++ b/cranberrysail/router/headercodec.py
@@ -53,6 +53,8 @@
         Content-Encoding.
       not_run: True if the endpoint declares that it did not execute the call.
       displaced: True if the address now belongs to another endpoint.
+      promises_not_run: True if callers take the status for a promise that the call was
+        not executed and never will be, whatever the endpoint declares.
       report: Load report of the endpoint, if present.
       idle_timeout_s: Idle timeout of the connection in seconds; 0 if not given.
       closing: True if the endpoint closes the connection after this response.
@@ -70,6 +72,7 @@
     closing: bool
     leaving: bool = False
     pause_s: float = 0.0
+    promises_not_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/router/test_odd_responses.py
+++ b/tests/router/test_odd_responses.py
@@ -12,7 +12,7 @@
     make_config,
     make_request,
 )
-from tests.router.test_interrupted_responses import send_to
+from tests.router.test_interrupted_responses import respond, send_to
 from tests.router.virtualloop import run_virtual
 
 NOT_EXECUTED = "Cranberrysail-Not-Executed: 1\r\n"
@@ -130,6 +130,19 @@
     assert failed == {}
 
 
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_of_a_request_that_ran_is_no_promise_that_it_did_not(path, status):
+    """Guards against callers that send a request again which has run."""
+    odd = respond(b"{}", "Content-Length: 2\r\n", status)
+    caller, sent = send_to([odd, odd], make_request(path))
+    if path in ("/book/1", "/chat/1"):
+        assert (caller.status, sent) == (502, 1)
+    else:
+        # Callers may send it again in any case.
+        assert caller.status == status
+
+
 @pytest.mark.parametrize("path", ["/book/1", "/chat/1"])
 @pytest.mark.parametrize("kind", ["refusal", "misdirected"])
 @pytest.mark.parametrize("identified", [True, False])
