--- a/cranberrysail/front/gateway.py
+++ b/cranberrysail/front/gateway.py
@@ -280,7 +280,7 @@
             except TimeoutError as exc:
                 call.close()
                 raise UpstreamError("resume request timed out", sent=True) from exc
-            if call.status != 200:
+            if call.status != 200 or not call.is_event_stream:
                 call.close()
                 raise UpstreamError("endpoint refused to resume the stream", sent=True)
             self._metrics.counters["calls.resumed"] += 1
--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -297,7 +297,7 @@
                 endpoint, call.route.name, now() - sent_s, True, False
             )
             return Attempt(AttemptResult.UNKNOWN, "response has no valid seal")
-        if _is_stream(call, conn):
+        if _is_stream(call, conn) and _can_follow(call, conn):
             return await self._forward_stream(call, endpoint, conn, pending_id, sent_s)
         if response.promises_not_run and not call.route.retryable:
             return await self._on_false_promise(
@@ -482,6 +482,7 @@
                 self._content_guard.on_answer(call)
             if events:
                 await self._forward_events(call, conn, events)
+            call.event_splitter.check()
         fault = call.event_splitter.fault_at_end(conn.framing)
         if fault:
             raise UpstreamError(
@@ -524,6 +525,15 @@
     return is_stream and conn.status < 300
 
 
+def _can_follow(call: Call, conn: HttpClientConn) -> bool:
+    """Return whether a response can be sent after what the caller has received.
+
+    A body of another type, such as the text of an error, is not to stand among events.
+    """
+    has_type = any(name == b"content-type" for name, _ in conn.headers)
+    return not (call.response_started and has_type) or is_event_stream(conn.headers)
+
+
 def _is_unfinished(call: Call, conn: HttpClientConn) -> bool:
     """Return whether a response other than a stream has begun and has not ended."""
     return bool(conn.status) and not conn.complete and not _is_stream(call, conn)
--- a/cranberrysail/router/sse.py
+++ b/cranberrysail/router/sse.py
@@ -18,6 +18,9 @@
 BLANK_LINE = re.compile(rb"\n\n|[\r\n]\r\n?")
 COMMENT = b":"
 ID_FIELD = b"id:"
+# Begin of a response head. It stands in a body without a length if an endpoint sends
+# another response before the first has ended.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 def _fields(data: bytes) -> list[bytes]:
@@ -49,27 +52,41 @@
         self.last_id = b""
         self.tail = b""
         self.event_count = 0
+        self._fault = ""
 
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the events that it completes.
 
+        Events before a fault are returned; ``check`` tells of it.
+
         Raises:
-          UpstreamError: If an event exceeds the size limit.
+          UpstreamError: If data that completes no event is no part of a stream: another
+            response stands there, or an event exceeds the size limit.
         """
         data = self.tail + data
         end = 0
         for blank_line in BLANK_LINE.finditer(data):
+            if STATUS_LINE.match(data, end):
+                self._fault = "another response stands in the stream"
+                break
             self._end_event(data[end : blank_line.end()])
             end = blank_line.end()
         self.tail = data[end:]
         if len(self.tail) > MAX_EVENT_BYTES:
-            raise UpstreamError(
-                f"an event exceeds the limit of {MAX_EVENT_BYTES} bytes",
-                sent=True,
-                started=True,
-            )
+            self._fault = f"an event exceeds the limit of {MAX_EVENT_BYTES} bytes"
+        if not end:
+            self.check()
         return data[:end]
 
+    def check(self) -> None:
+        """Check that what follows the complete events may be part of the stream.
+
+        Raises:
+          UpstreamError: If it is not.
+        """
+        if self._fault:
+            raise UpstreamError(self._fault, sent=True, started=True)
+
     def _end_event(self, event: bytes) -> None:
         fields = _fields(event)
         if not fields:
@@ -89,6 +106,8 @@
         Args:
           framing: What delimits the body that has ended.
         """
+        if self._fault:
+            return self._fault
         if self.in_event:
             return "the stream ended inside an event"
         # The end of the connection does not tell an empty stream from one that was
@@ -100,3 +119,4 @@
     def discard_tail(self) -> None:
         """Drop the incomplete event, which a resumed stream sends again."""
         self.tail = b""
+        self._fault = ""
--- a/tests/router/test_odd_responses.py
+++ b/tests/router/test_odd_responses.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from tests.router.interrupted import body_of
+from tests.router.interrupted import CHUNKED, body_of, chunk
 from tests.router.simulatedfleet import (
     SEAL,
     SimulatedFleet,
     make_config,
     make_request,
 )
-from tests.router.test_interrupted_responses import respond, send_to
+from tests.router.test_interrupted_responses import FIRST_EVENT, respond, send_to
 from tests.router.virtualloop import run_virtual
 
 NOT_EXECUTED = "Cranberrysail-Not-Executed: 1\r\n"
@@ -165,3 +165,102 @@
 
     caller, sent = send_to([contradict, contradict], make_request(path))
     assert (caller.status, sent, ran) == (502, 1, ["a1"])
+
+
+STREAM_ENDS = {
+    "inside an event": chunk(FIRST_EVENT + b"id: 2\ndata: pa"),
+    "between events": chunk(FIRST_EVENT),
+    "inside a chunk": chunk(FIRST_EVENT) + chunk(FIRST_EVENT)[:-4],
+}
+ERROR_TEXT = b"overloaded, try again\n\n"
+ERROR_HEADERS = {
+    "text": "Content-Type: text/plain\r\n",
+    "json": "Content-Type: application/json\r\n",
+    "encoded": "Content-Type: text/event-stream\r\nContent-Encoding: x\r\n",
+}
+ERROR_FRAMINGS = {"length": f"Content-Length: {len(ERROR_TEXT)}\r\n", "close": ""}
+
+
+@pytest.mark.parametrize("end", STREAM_ENDS.values(), ids=STREAM_ENDS)
+@pytest.mark.parametrize("headers", ERROR_HEADERS.values(), ids=ERROR_HEADERS)
+@pytest.mark.parametrize("framing", ERROR_FRAMINGS.values(), ids=ERROR_FRAMINGS)
+@pytest.mark.parametrize("status", [200, 206, 404, 429, 503])
+def test_error_of_the_next_endpoint_stands_in_no_stream(end, headers, framing, status):
+    """Guards against the text of an error among events, or an end that looks whole."""
+    error = respond(ERROR_TEXT, headers + framing, status)
+    cut = respond(end, CHUNKED + EVENT_STREAM)
+    caller, _ = send_to([cut, error], make_request("/resumable/1"))
+    assert b"overloaded" not in caller.data
+    assert caller.data.count(b"HTTP/1.1") == 1
+    assert not caller.is_complete
+
+
+@pytest.mark.parametrize("extra", [NOT_EXECUTED, SEAL, ""])
+@pytest.mark.parametrize("framed", [True, False])
+def test_response_head_behind_a_stream_without_a_length_is_no_event(extra, framed):
+    """Guards against the head of another response among events."""
+    length = "Content-Length: 2\r\n" if framed else ""
+    head = f"HTTP/1.1 503 Unavailable\r\n{extra}{length}\r\n".encode()
+    cut = respond(FIRST_EVENT + head + b"{}", EVENT_STREAM)
+    caller, _ = send_to([cut], make_request("/chat/1"))
+    assert body_of(caller) == FIRST_EVENT
+    assert not caller.is_complete
+
+
+HEADS = {
+    "length": f"Content-Length: {len(ANSWER)}\r\n",
+    "chunked": CHUNKED,
+    "close": "",
+    "no body": "Content-Length: 0\r\n",
+}
+
+
+def cuts(head):
+    """Return sizes at which a head is cut: around each line end, and in its lines."""
+    ends = [n + 1 for n, char in enumerate(head) if char == "\n"]
+    sizes = {end + offset for end in ends for offset in (-2, -1, 0, 5)}
+    return sorted(size for size in sizes if size < len(head))
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("framing", HEADS.values(), ids=HEADS)
+@pytest.mark.parametrize("before", ["", "HTTP/1.1 103 X\r\n\r\n"])
+def test_response_head_that_is_cut_anywhere_gives_no_success(path, framing, before):
+    """Guards against an empty or short body as a whole 200."""
+    head = (
+        f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: a1\r\n{SEAL}{EVENT_STREAM}"
+        f"{framing}\r\n"
+    )
+
+    def cut_at(size, ends_by_reset):
+        async def answer(conn, received):
+            conn.transport.write((before + head)[:size].encode())
+            await asyncio.sleep(0.01)
+            (conn.transport.reset if ends_by_reset else conn.transport.close)()
+
+        return answer
+
+    for number, size in enumerate(cuts(before + head)):
+        cut = cut_at(size, ends_by_reset=number % 2)
+        caller, _ = send_to([cut, cut], make_request(path))
+        assert caller.status == 502, size
+
+
+@pytest.mark.parametrize("framing", HEADS.values(), ids=HEADS)
+def test_head_of_a_resumed_stream_that_is_cut_anywhere_does_not_end_it(framing):
+    """Guards against a stream that ends as if it were whole."""
+    head = f"HTTP/1.1 200 OK\r\nCranberrysail-Attempt-Id: a1\r\n{SEAL}{framing}\r\n"
+
+    def cut_at(size):
+        async def answer(conn, received):
+            conn.transport.write(head[:size].encode())
+            await asyncio.sleep(0.01)
+            conn.transport.close()
+
+        return answer
+
+    begun = respond(chunk(FIRST_EVENT), CHUNKED)
+    for size in cuts(head):
+        caller, _ = send_to([begun, cut_at(size)], make_request("/resumable/1"))
+        assert body_of(caller) == FIRST_EVENT
+        assert not caller.is_complete, size
--- a/tests/router/test_sse.py
+++ b/tests/router/test_sse.py
@@ -67,3 +67,13 @@
     splitter.feed(b"data: x\n\n" * 50 + b"data: " + b"x" * 90)
     with pytest.raises(UpstreamError):
         splitter.feed(b"x" * 10)
+
+
+def test_events_before_one_above_the_size_limit_are_not_lost(monkeypatch):
+    """Guards against a resumed stream that misses events, as their id was noted."""
+    monkeypatch.setattr(sse, "MAX_EVENT_BYTES", 100)
+    splitter = EventSplitter()
+    event = b"id: 1\ndata: x\n\n"
+    assert splitter.feed(event + b"x" * 101) == event
+    with pytest.raises(UpstreamError):
+        splitter.check()
