--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client connections with keep-alive, one request in flight on each."""
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import TypeVar
@@ -20,6 +19,7 @@
     response_framing,
 )
 from cranberrysail.router.clock import now
+from cranberrysail.router.deadpeer import WindowWatch, enable_dead_peer_detection
 from cranberrysail.router.isolation import run_isolated
 from cranberrysail.router.tcpstate import read_tcp_state, read_unread_bytes
 
@@ -34,34 +34,11 @@
 # Limit on the bytes that are still read from a connection that was reset; the rest of a
 # response that is larger is lost.
 MAX_BYTES_AFTER_RESET = 1024 * 1024
-# A connection whose data stays unacknowledged for this long is closed.
-TCP_USER_TIMEOUT_MS = 1000
-# An idle connection is probed after one second, and closed one second later if there
-# is no reply. On Linux the number of probes has no effect, since TCP_USER_TIMEOUT
-# overrides it.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 
 C = TypeVar("C", bound="HttpClientConn")
 ResponseMatcher = Callable[[int, list[tuple[bytes, bytes]]], bool]
 
 
-def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
-    """Set the TCP options by which the kernel detects an unreachable peer."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 class HttpClientConn(asyncio.Protocol):
     """A connection to a server; skips responses that belong to other requests.
 
@@ -81,6 +58,7 @@
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._watch: WindowWatch | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future | None = None
         self._chunks: deque[bytes] = deque()
@@ -109,6 +87,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its TCP options."""
         self._transport = transport
+        self._watch = WindowWatch(transport, self._on_peer_gone)
         enable_dead_peer_detection(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -183,6 +162,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request, unless its response has arrived."""
         self.reusable = False
+        self._watch.stop()
         if exc is not None:
             run_isolated(self._receive_rest)
         # Other errors, such as a timeout, tell that the server cannot be reached.
@@ -190,6 +170,10 @@
             self._disconnected = exc is None or isinstance(exc, ConnectionError)
         self._fail(f"connection lost ({exc})" if exc else "connection closed")
 
+    def _on_peer_gone(self) -> None:
+        self._fail("connection lost (no acknowledgement)")
+        self.close()
+
     def _receive_rest(self) -> None:
         """Parse what arrived before a reset that a write has met.
 
@@ -386,6 +370,7 @@
         self._chunks.clear()
         self._buffered_bytes = 0
         self._transport.write(request)
+        self._watch.request_written(len(request))
 
     async def wait_for_head(self) -> None:
         """Wait for the head of the response.
--- a/cranberrysail/router/tcpstate.py
+++ b/cranberrysail/router/tcpstate.py
@@ -14,7 +14,9 @@
 
 # Offsets in struct tcp_info of linux/tcp.h.
 STATE_OFFSET = 0
-UNACKNOWLEDGED_OFFSET = 24
+UNANSWERED_PROBES_OFFSET = 3
+IN_FLIGHT_OFFSET = 24
+LAST_ACK_RECEIVED_OFFSET = 56
 NOT_SENT_OFFSET = 144
 TCP_INFO_BYTES = NOT_SENT_OFFSET + 4
 # State of a connection that was reset; one that the peer has ended in order stays in
@@ -30,12 +32,27 @@
 
     Attributes:
       was_reset: True if the peer has reset the connection.
-      has_unacknowledged: True if the peer has not confirmed the receipt of all bytes
-        that were written, or not all of them were sent.
+      in_flight: Segments that were sent and whose receipt the peer has not confirmed.
+      not_sent: Bytes that were written and not sent.
+      unanswered_probes: Probes since the last acknowledgement.
+      acknowledged_ago_s: Time since the last acknowledgement, also one of a probe.
     """
 
     was_reset: bool
-    has_unacknowledged: bool
+    in_flight: int = 0
+    not_sent: int = 0
+    unanswered_probes: int = 0
+    acknowledged_ago_s: float = 0.0
+
+    @property
+    def has_unacknowledged(self) -> bool:
+        """Return whether the peer has not confirmed all that was written."""
+        return bool(self.in_flight or self.not_sent)
+
+    @property
+    def is_window_closed(self) -> bool:
+        """Return whether the peer has confirmed all that it has room for."""
+        return bool(self.not_sent and not self.in_flight)
 
 
 def read_tcp_state(transport: asyncio.BaseTransport) -> TcpState | None:
@@ -53,9 +70,17 @@
         return None
     if len(info) < TCP_INFO_BYTES:
         return None
-    (unacknowledged,) = UINT32.unpack_from(info, UNACKNOWLEDGED_OFFSET)
+    (in_flight,) = UINT32.unpack_from(info, IN_FLIGHT_OFFSET)
     (not_sent,) = UINT32.unpack_from(info, NOT_SENT_OFFSET)
-    return TcpState(info[STATE_OFFSET] == TCP_CLOSE, bool(unacknowledged or not_sent))
+    (acknowledged_ago_ms,) = UINT32.unpack_from(info, LAST_ACK_RECEIVED_OFFSET)
+    was_reset = info[STATE_OFFSET] == TCP_CLOSE
+    return TcpState(
+        was_reset,
+        in_flight,
+        not_sent,
+        info[UNANSWERED_PROBES_OFFSET],
+        acknowledged_ago_ms / 1000,
+    )
 
 
 def read_unread_bytes(transport: asyncio.BaseTransport, max_bytes: int) -> bytes:
