--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -459,8 +459,17 @@
         return body
 
     def mark_idle(self) -> None:
-        """Mark the connection as idle once its response was read."""
+        """Make the connection as new, once its response is complete.
+
+        What is left of the response is dropped, and reading goes on.
+        """
         self._busy = False
+        self._match = None
+        self._chunks.clear()
+        self._buffered_bytes = 0
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
 
     def close(self) -> None:
         """Abort the connection, which cancels an unfinished request."""
