--- a/tests/processes/endpoint.py
+++ b/tests/processes/endpoint.py
@@ -1,7 +1,8 @@
 """A stand-in of an endpoint, as a process of its own: ``endpoint.py SETTINGS``.
 
 It prints a line of JSON for each request that it runs. A word on standard input changes
-how it behaves: ``sound``, ``slow``, ``reset``, ``endless``, ``leaving`` or ``deaf``.
+how it behaves: ``sound``, ``slow``, ``reset``, ``hanging``, ``endless``, ``leaving`` or
+``deaf``.
 """
 
 import asyncio
@@ -18,6 +19,8 @@
 EVENTS = 6
 EVENT_GAP_S = 0.05
 SLOWNESS = 8.0
+# Longer than any request waits.
+HANG_S = 60.0
 
 
 class Endpoint:
@@ -63,7 +66,9 @@
     async def _answer(self, request: Message, writer) -> None:
         settings = self._settings
         if request.headers.get("cranberrysail-expected-instance") != settings["id"]:
-            writer.write(serialize("HTTP/1.1 421 Misdirected Request", {}))
+            request_id = request.headers.get("cranberrysail-attempt-id", "")
+            headers = {"Cranberrysail-Attempt-Id": request_id}
+            writer.write(serialize("HTTP/1.1 421 Misdirected Request", headers))
             return
         if self._mode == "reset":
             writer.transport.abort()
@@ -85,6 +90,8 @@
             "digest": hashlib.sha256(request.body).hexdigest(),
         }
         print(json.dumps(line), flush=True)
+        if self._mode == "hanging":
+            await asyncio.sleep(HANG_S)
         slowness = SLOWNESS if self._mode == "slow" else 1.0
         await asyncio.sleep(settings["work_s"] * slowness)
         headers = {
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -279,7 +279,7 @@
 
 @fault
 async def _spoil_endpoint(faults: Faults) -> None:
-    mode = faults.rng.choice(("slow", "reset", "endless"))
+    mode = faults.rng.choice(("slow", "reset", "endless", "hanging"))
     endpoint = faults.take_endpoint("plain" if mode == "endless" else None)
     if endpoint is None:
         return
