--- a/cranberrysail/router/attempt.py
+++ b/cranberrysail/router/attempt.py
@@ -340,12 +340,12 @@
         pending_id: int,
         sent_s: float,
     ) -> Attempt:
-        """Handle a status that tells callers more than the endpoint declares."""
+        """Handle a status that promises callers more than the endpoint declares."""
         await conn.read_up_to(MAX_BUFFERED_BYTES)
         self._record_response(call, endpoint, pending_id, sent_s, conn.status)
         return Attempt(
             AttemptResult.UNKNOWN,
-            f"status {conn.status}, not declared that the call was not run",
+            f"status {conn.status} without a declaration that the call was not run",
         )
 
     async def _on_not_executed(
--- a/cranberrysail/router/isolation.py
+++ b/cranberrysail/router/isolation.py
@@ -20,5 +20,5 @@
         try:
             step()
         except Exception as exc:
-            context = {"message": f"a step failed: {step!r}", "exception": exc}
+            context = {"message": "a step of a callback failed", "exception": exc}
             asyncio.get_running_loop().call_exception_handler(context)
