--- a/cranberrysail/router/deadpeer.py
+++ b/cranberrysail/router/deadpeer.py
@@ -54,7 +54,12 @@
 
 
 class WindowWatch:
-    """Keeps a connection open while its peer is there but does not read."""
+    """Keeps a connection open while its peer is there but does not read.
+
+    Attributes:
+      has_closed: True once the window was seen closed. The kernel may go on counting
+        from then, so that the next time it ends the connection at once.
+    """
 
     def __init__(
         self,
@@ -71,7 +76,7 @@
         self._on_gone = on_gone
         self._timer: asyncio.TimerHandle | None = None
         self._started_s = 0.0
-        self._has_closed = False
+        self.has_closed = False
         self._owed_acknowledgement = False
 
     def request_written(self, size: int) -> None:
@@ -98,14 +103,14 @@
         if state is None:
             return
         if not state.has_unacknowledged:
-            self._end()
+            self._owed_acknowledgement = False
             return
         if self._is_gone(state):
             self._on_gone()
             return
         if state.is_window_closed:
-            self._has_closed = True
-        if self._has_closed:
+            self.has_closed = True
+        if self.has_closed:
             # Counted from the start, as the kernel may not begin anew after a window
             # has opened in part.
             self._set_timeout(now() - self._started_s + PROBE_INTERVAL_S)
@@ -118,12 +123,6 @@
         self._owed_acknowledgement = owes
         return owes and owed_before and state.acknowledged_ago_s > GONE_AFTER_S
 
-    def _end(self) -> None:
-        self._owed_acknowledgement = False
-        if self._has_closed:
-            self._has_closed = False
-            self._set_timeout(0.0)
-
     def _set_timeout(self, timeout_s: float) -> None:
         """Set the user timeout, which is never shorter than usual."""
         timeout_ms = max(TCP_USER_TIMEOUT_MS, int(timeout_s * 1000))
--- a/cranberrysail/router/httpclient.py
+++ b/cranberrysail/router/httpclient.py
@@ -273,7 +273,11 @@
     def _finish(self) -> None:
         self.complete = True
         self.idle_since_s = now()
-        if self.framing is BodyFraming.CLOSE or self._is_request_unread():
+        if (
+            self.framing is BodyFraming.CLOSE
+            or self._watch.has_closed
+            or self._is_request_unread()
+        ):
             self.reusable = False
         self._wake()
 
--- a/tests/router/test_slow_endpoints.py
+++ b/tests/router/test_slow_endpoints.py
@@ -9,6 +9,7 @@
 
 from tests.router.realfleet import head, run_real
 from tests.router.simulatedfleet import make_request
+from tests.router.test_odd_responses import choose_first
 
 # Socket option that the socket module does not name (socket(7)).
 SO_ATTACH_FILTER = 26
@@ -72,6 +73,30 @@
     assert caller.data.count(b"data: x") == EVENTS
 
 
+def test_requests_are_not_cut_after_an_earlier_one_was_read_later():
+    """Guards against a kernel that counts on from an earlier closed window."""
+
+    async def answer_all_first(endpoint):
+        while not endpoint.ended:
+            endpoint.send(head(EVENT_STREAM))
+            events = asyncio.ensure_future(send_events(endpoint, 20))
+            if b"content-length: 0" not in endpoint.received.lower():
+                await asyncio.sleep(1.5)
+            await endpoint.read_request()
+            await events
+            endpoint.received = b""
+            endpoint.send(b"0\r\n\r\n")
+            await endpoint.read_head()
+
+    async def scenario(fleet):
+        fleet._router.selector.choose = choose_first(fleet._router)
+        sizes = (UPLOAD_BYTES, 0, UPLOAD_BYTES)
+        requests = [make_request("/chat/1", body=b"u" * size) for size in sizes]
+        return [(await fleet.call(request)).is_complete for request in requests]
+
+    assert run_real([answer_all_first] * 3, scenario) == [True] * 3
+
+
 def test_endpoint_that_reads_the_request_slowly_serves_it():
     """Guards against the same for a request that is answered after it was read."""
 
