--- a/tests/router/test_endpoint_wishes.py
+++ b/tests/router/test_endpoint_wishes.py
@@ -191,6 +191,17 @@
     assert directory.get("a").takes_requests(5.0) is takes
 
 
+def test_leaving_holds_for_a_new_incarnation_that_may_have_said_it():
+    """Guards against calls to an endpoint that said that it leaves."""
+    directory = EndpointDirectory()
+    directory.declare(EndpointRecord("a", 1, 1, "s", "10.0.0.1:80", "z", 4), 0.0)
+    directory.said_leaving(directory.get("a"), 0.5)
+    directory.declare(EndpointRecord("a", 2, 1, "s", "10.0.0.1:80", "z", 4), 1.5)
+    # The reported call came 2.5 s after the response.
+    taking = [e for e in directory.usable("s") if e.takes_requests(3.0)]
+    assert taking == []
+
+
 def test_call_is_refused_at_once_while_all_endpoints_pause():
     async def main(world):
         await send_calls(world, 2)
